Lay out packages, core types, rings, HTTP and the interfaces of each part

Cause: nothing existed; the shape has to stand before code grows in it. Before: no code. Conclusion: parts can now be built side by side.

--- /dev/null
+++ b/packages/core/include/jasminespar/core/verdict.h
@@ -0,0 +1,37 @@
+/// @file
+/// Whether a request may have run: carried by every error from the lowest
+/// layer up, so that retries are decided from knowledge and not from guesses.
+
+#ifndef JASMINESPAR_CORE_VERDICT_H_
+#define JASMINESPAR_CORE_VERDICT_H_
+
+#include <algorithm>
+#include <cstdint>
+#include <string_view>
+
+#include "jasminespar/core/name_table.h"
+
+namespace jasminespar {
+
+/// Ordered by how much may have happened.
+enum class Verdict : std::uint8_t { kNotRun, kMayHaveRun, kRan };
+
+inline constexpr NameTable<Verdict, 3> kVerdictNames{{
+    {Verdict::kNotRun, "not_run", "No part of the request ran."},
+    {Verdict::kMayHaveRun, "may_have_run", "The request ran or did not run."},
+    {Verdict::kRan, "ran", "The request ran to its end."},
+}};
+static_assert(IsDense(kVerdictNames));
+
+[[nodiscard]] constexpr std::string_view NameOf(Verdict verdict) noexcept {
+  return RowOf(kVerdictNames, verdict).name;
+}
+
+/// Joins what two layers know: the one that saw more wins.
+[[nodiscard]] constexpr Verdict Worst(Verdict a, Verdict b) noexcept {
+  return std::max(a, b);
+}
+
+}  // namespace jasminespar
+
+#endif  // JASMINESPAR_CORE_VERDICT_H_
--- /dev/null
+++ b/packages/http/src/client.cc
@@ -0,0 +1,218 @@
+#include "jasminespar/http/client.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <deque>
+#include <limits>
+#include <set>
+#include <utility>
+
+#include "jasminespar/core/error.h"
+
+namespace jasminespar::http {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+using Tcp = asio::ip::tcp;
+using SteadyClock = std::chrono::steady_clock;
+
+namespace {
+
+/// A pooled connection; `buffer` holds bytes read ahead.
+struct Connection {
+  explicit Connection(asio::io_context& context) : stream(context) {}
+  beast::tcp_stream stream;
+  beast::flat_buffer buffer;
+  bool fresh = true;
+};
+
+using Message = beast::http::request<beast::http::string_body>;
+
+Message ToMessage(Request request, const std::string& host) {
+  Message message;
+  message.version(11);
+  message.method_string(request.method);
+  message.target(request.target);
+  message.set(beast::http::field::host, host);
+  for (const Header& header : request.headers) {
+    message.set(header.name, header.value);
+  }
+  message.body() = std::move(request.body);
+  message.prepare_payload();
+  return message;
+}
+
+Response ToResponse(beast::http::response<beast::http::string_body> message) {
+  Response response;
+  response.status = static_cast<int>(message.result_int());
+  for (const auto& field : message) {
+    response.headers.push_back(
+        {std::string(field.name_string()), std::string(field.value())});
+  }
+  response.body = std::move(message.body());
+  return response;
+}
+
+/// An idle connection the server has closed turns readable.
+bool IsStale(Connection& connection) {
+  beast::error_code error;
+  char byte = 0;
+  Tcp::socket& socket = connection.stream.socket();
+  socket.non_blocking(true, error);
+  socket.receive(asio::buffer(&byte, 1), Tcp::socket::message_peek, error);
+  return error != asio::error::would_block;
+}
+
+}  // namespace
+
+class Client::Impl : public std::enable_shared_from_this<Client::Impl> {
+ public:
+  Impl(asio::io_context& context, std::string host, std::uint16_t port,
+       std::size_t max_connections)
+      : context_(context),
+        host_(std::move(host)),
+        endpoint_(asio::ip::make_address(host_), port),
+        max_connections_(max_connections) {}
+
+  asio::awaitable<Response> Send(Request request, Duration timeout) {
+    const SteadyClock::time_point deadline = SteadyClock::now() + timeout;
+    std::shared_ptr<Connection> connection = co_await Acquire(deadline);
+    Lease lease(*this, connection);
+    co_await Open(*connection, deadline);
+    Message message = ToMessage(std::move(request), host_);
+    Response response =
+        co_await Exchange(*connection, message, lease, deadline);
+    co_return response;
+  }
+
+  void Close() {
+    idle_.clear();
+    for (const std::shared_ptr<Connection>& connection : busy_) {
+      connection->stream.cancel();
+    }
+  }
+
+ private:
+  /// Gives the connection back to the pool, or drops it.
+  class Lease {
+   public:
+    Lease(Impl& impl, std::shared_ptr<Connection> connection)
+        : impl_(impl.shared_from_this()), connection_(std::move(connection)) {
+      impl_->busy_.insert(connection_);
+    }
+    ~Lease() {
+      impl_->busy_.erase(connection_);
+      if (reusable) impl_->idle_.push_back(connection_);
+      impl_->WakeWaiter();
+    }
+    Lease(const Lease&) = delete;
+    Lease& operator=(const Lease&) = delete;
+    bool reusable = false;
+
+   private:
+    std::shared_ptr<Impl> impl_;
+    std::shared_ptr<Connection> connection_;
+  };
+
+  asio::awaitable<std::shared_ptr<Connection>> Acquire(
+      SteadyClock::time_point deadline) {
+    while (busy_.size() + granted_ >= max_connections_) {
+      auto timer = std::make_shared<asio::steady_timer>(context_, deadline);
+      waiting_.push_back(timer);
+      beast::error_code error;
+      co_await timer->async_wait(
+          asio::redirect_error(asio::use_awaitable, error));
+      if (error != asio::error::operation_aborted) {
+        std::erase(waiting_, timer);
+        throw Error(Reason::kWorkerUnreachable, Verdict::kNotRun,
+                    "no free connection to " + host_);
+      }
+      --granted_;  // A leaving request woke this one and reserved its place.
+      break;
+    }
+    while (!idle_.empty()) {
+      std::shared_ptr<Connection> connection = idle_.back();
+      idle_.pop_back();
+      if (!IsStale(*connection)) co_return connection;
+    }
+    co_return std::make_shared<Connection>(context_);
+  }
+
+  void WakeWaiter() {
+    if (waiting_.empty()) return;
+    std::shared_ptr<asio::steady_timer> timer = waiting_.front();
+    waiting_.pop_front();
+    ++granted_;
+    timer->expires_at(SteadyClock::time_point::max());
+    timer->cancel();
+  }
+
+  asio::awaitable<void> Open(Connection& connection,
+                             SteadyClock::time_point deadline) {
+    if (!connection.fresh) co_return;
+    connection.stream.expires_at(deadline);
+    beast::error_code error;
+    co_await connection.stream.async_connect(
+        endpoint_, asio::redirect_error(asio::use_awaitable, error));
+    if (error) {
+      throw Error(Reason::kWorkerUnreachable, Verdict::kNotRun,
+                  error.message());
+    }
+    connection.fresh = false;
+    connection.stream.socket().set_option(Tcp::no_delay(true), error);
+  }
+
+  asio::awaitable<Response> Exchange(Connection& connection, Message& message,
+                                     Lease& lease,
+                                     SteadyClock::time_point deadline) {
+    connection.stream.expires_at(deadline);
+    beast::error_code error;
+    co_await beast::http::async_write(
+        connection.stream, message,
+        asio::redirect_error(asio::use_awaitable, error));
+    beast::http::response_parser<beast::http::string_body> parser;
+    parser.body_limit(std::numeric_limits<std::uint64_t>::max());
+    if (!error) {
+      co_await beast::http::async_read(
+          connection.stream, connection.buffer, parser,
+          asio::redirect_error(asio::use_awaitable, error));
+    }
+    if (error) {
+      throw Error(Reason::kWorkerUnreachable, Verdict::kMayHaveRun,
+                  error.message());
+    }
+    connection.stream.expires_never();
+    lease.reusable = parser.get().keep_alive();
+    co_return ToResponse(parser.release());
+  }
+
+  asio::io_context& context_;
+  std::string host_;
+  Tcp::endpoint endpoint_;
+  std::size_t max_connections_;
+  std::size_t granted_ = 0;  // Places promised to woken waiters.
+  std::set<std::shared_ptr<Connection>> busy_;
+  std::vector<std::shared_ptr<Connection>> idle_;
+  std::deque<std::shared_ptr<asio::steady_timer>> waiting_;
+};
+
+Client::Client(asio::io_context& context, std::string host, std::uint16_t port,
+               std::size_t max_connections)
+    : impl_(std::make_shared<Impl>(context, std::move(host), port,
+                                   max_connections)) {}
+
+Client::~Client() { impl_->Close(); }
+
+asio::awaitable<Response> Client::Send(Request request, Duration timeout) {
+  // Holds the pool alive while the request is in progress.
+  std::shared_ptr<Impl> impl = impl_;
+  co_return co_await impl->Send(std::move(request), timeout);
+}
+
+void Client::Close() { impl_->Close(); }
+
+}  // namespace jasminespar::http
