Schedule gangs of one cell under guarantees

Cause: the daemon needs decisions behind the whole scheduler interface. Ruled out: recomputing a packing of guarantees for each decision, since the nested shapes allow an exact check by counters for each level. Change: tree of accelerators, virtual clusters bound lazily, placement and queue policies as variants (first come first served with first fit kept as the baseline), least attained service with a reservation for long waiting gangs, early refusals, quarantine and poison detection. Before: no implementation. Conclusion: enough for the daemon to run on; guarantees still need their own tests and a randomised run.

--- /dev/null
+++ b/packages/scheduling/include/jasminespar/scheduling/job_table.h
@@ -0,0 +1,98 @@
+/// @file
+/// The jobs that a scheduler knows, in slots with stable numbers.
+
+#ifndef JASMINESPAR_SCHEDULING_JOB_TABLE_H_
+#define JASMINESPAR_SCHEDULING_JOB_TABLE_H_
+
+#include <cstdint>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "jasminespar/core/name_table.h"
+#include "jasminespar/core/time.h"
+#include "jasminespar/scheduling/allocator.h"
+#include "jasminespar/scheduling/scheduler.h"
+
+namespace jasminespar::scheduling {
+
+enum class JobState : std::uint8_t {
+  kWaiting,
+  kClaiming,
+  kReady,
+  kRunning,
+  kReclaiming,
+};
+
+inline constexpr NameTable<JobState, 5> kJobStateNames{{
+    {JobState::kWaiting, "waiting", "In the queue."},
+    {JobState::kClaiming, "claiming", "Waits for gangs to give way."},
+    {JobState::kReady, "ready", "Starts with the next decision."},
+    {JobState::kRunning, "running", "Started."},
+    {JobState::kReclaiming, "reclaiming", "Told to give way."},
+}};
+static_assert(IsDense(kJobStateNames));
+
+/// Number of levels of attained service.
+inline constexpr std::size_t kServiceLevels = 4;
+
+struct JobRecord {
+  Job job;
+  AccountIndex account = 0;
+  JobState state = JobState::kWaiting;
+  std::uint8_t level = 0;  ///< Of attained service, when it was enqueued.
+  TimePoint started;
+  Duration attained{};  ///< Run time of earlier attempts.
+  /// Accelerators counted in the account's borrowed ones.
+  std::uint32_t charged = 0;
+
+  /// @return whether no part of the job has been started.
+  [[nodiscard]] bool IsWaiting() const noexcept {
+    return state == JobState::kWaiting || state == JobState::kClaiming ||
+           state == JobState::kReady;
+  }
+};
+
+class JobTable {
+ public:
+  /// @return the slot of a job, or kNoJob.
+  [[nodiscard]] JobIndex Find(const CallId& id) const {
+    const auto found = index_.find(id);
+    return found == index_.end() ? kNoJob : found->second;
+  }
+  [[nodiscard]] JobRecord& at(JobIndex job) { return records_[job]; }
+  [[nodiscard]] const JobRecord& at(JobIndex job) const {
+    return records_[job];
+  }
+  JobIndex Add(JobRecord record) {
+    JobIndex job = static_cast<JobIndex>(records_.size());
+    if (unused_.empty()) {
+      records_.emplace_back();
+    } else {
+      job = unused_.back();
+      unused_.pop_back();
+    }
+    index_[record.job.id] = job;
+    records_[job] = std::move(record);
+    return job;
+  }
+  void Erase(JobIndex job) {
+    index_.erase(records_[job].job.id);
+    records_[job] = JobRecord{};
+    unused_.push_back(job);
+  }
+  [[nodiscard]] std::size_t size() const noexcept { return index_.size(); }
+  template <typename Visit>
+  void ForEach(Visit visit) const {
+    for (const auto& [id, job] : index_) visit(job, records_[job]);
+  }
+
+ private:
+  std::vector<JobRecord> records_;
+  std::vector<JobIndex> unused_;
+  std::unordered_map<CallId, JobIndex> index_;
+};
+
+}  // namespace jasminespar::scheduling
+
+#endif  // JASMINESPAR_SCHEDULING_JOB_TABLE_H_
--- a/packages/scheduling/include/jasminespar/scheduling/scheduler.h
+++ b/packages/scheduling/include/jasminespar/scheduling/scheduler.h
@@ -18,6 +18,7 @@
 #include "jasminespar/core/call.h"
 #include "jasminespar/core/ids.h"
 #include "jasminespar/core/time.h"
+#include "jasminespar/scheduling/policy.h"
 
 namespace jasminespar::scheduling {
 
@@ -81,7 +82,20 @@
   Duration expected_wait{};              ///< For a new one-accelerator job.
 };
 
+/// Shapes of one level that guarantees promise and the cell cannot give.
+struct GuaranteeFault {
+  configuration::ShapeLevel level = configuration::ShapeLevel::kAccelerator;
+  std::uint32_t missing = 0;
+  std::vector<ClientAccountId> accounts;  ///< Holders of such shapes.
+  auto operator<=>(const GuaranteeFault&) const = default;
+};
+
 struct PolicySettings {
+  QueuePolicy queue = LeastAttainedService{};
+  PlacementPolicy placement = BestFit{};
+  AdmissionPolicy admission = RefuseUnreachable{};
+  Validation validation = Validation::kIncremental;
+  Mutation mutation = Mutation::kNone;
   std::uint32_t max_waiting_jobs = 100'000;  ///< Of one cell.
   /// A gang that waits longer than this gets a reservation.
   Duration reservation_wait = 30s;
@@ -108,8 +122,10 @@
   /// Replaces the guarantees and weights that the cell honours.
   void ApplyShare(const configuration::CellShare& share, TimePoint now);
 
-  /// Adds a waiting job; `job.arrival` may lie in the past for one that comes
-  /// back after a failed attempt, and it then keeps its place.
+  /// Adds a waiting job. One whose `arrival` lies before `now` comes back
+  /// after a failed attempt or from a recovered journal: it was accepted
+  /// before, keeps its place and is not held to the bound of its account nor
+  /// to the estimate of its wait. A new job has `arrival == now`.
   /// @return why the job is refused (always kNotRun), or nothing.
   [[nodiscard]] std::optional<Refusal> Enqueue(const Job& job, TimePoint now);
 
@@ -139,6 +155,11 @@
 
   [[nodiscard]] LoadSummary Summary(TimePoint now) const;
 
+  /// @return the guarantees that cannot all be honoured at present, since
+  ///     workers are lost or the shares of the cell promise too much; by
+  ///     level. Empty when every guarantee can be called back in full.
+  [[nodiscard]] std::vector<GuaranteeFault> GuaranteeFaults() const;
+
   /// @return whether a job waits only for accelerators, and a sentence that
   ///     says why it does not run yet; nothing when no such job waits.
   [[nodiscard]] std::optional<std::string> Explain(const CallId& id,
--- /dev/null
+++ b/packages/scheduling/src/admission.cc
@@ -0,0 +1,156 @@
+/// @file
+/// Which jobs a scheduler accepts, and its account of load and waits.
+
+#include <algorithm>
+#include <string>
+
+#include "jasminespar/core/overloaded.h"
+#include "scheduler_state.h"
+
+namespace jasminespar::scheduling {
+namespace {
+
+constexpr Duration kMinRetryAfter = 250ms;
+constexpr Duration kMaxRetryAfter = 60s;
+constexpr std::int64_t kLevelFactor = 10;
+
+Refusal NotRun(Reason reason, Duration retry_after, std::string detail = {}) {
+  return Refusal{reason, Verdict::kNotRun, retry_after, std::move(detail)};
+}
+
+std::uint8_t LevelFor(const LeastAttainedService& policy, Duration service) {
+  std::uint8_t level = 0;
+  Duration bound = policy.first_level;
+  while (service >= bound && level + 1U < kServiceLevels) {
+    ++level;
+    bound *= kLevelFactor;
+  }
+  return level;
+}
+
+}  // namespace
+
+std::uint8_t Scheduler::State::LevelOf(const Job& job,
+                                       Duration attained) const {
+  const auto* policy = std::get_if<LeastAttainedService>(&settings_.queue);
+  if (policy == nullptr) return 0;
+  Duration service = attained;
+  if (policy->learn_run_times) {
+    const auto typical = run_times_.Typical(job.service, job.gang.accelerators);
+    service = std::max(service, typical.value_or(Duration{}));
+  }
+  return LevelFor(*policy, service * job.gang.accelerators);
+}
+
+Duration Scheduler::State::DrainTime(const JobRecord& record,
+                                     TimePoint now) const {
+  const auto wait = drain_.ExpectedWait(queue_.demand(), record.job.priority,
+                                        record.level, 1, now);
+  return std::clamp(wait.value_or(kMaxRetryAfter), kMinRetryAfter,
+                    kMaxRetryAfter);
+}
+
+std::optional<Refusal> Scheduler::State::RefuseDeadline(const JobRecord& record,
+                                                        TimePoint now) const {
+  const auto* policy = std::get_if<RefuseUnreachable>(&settings_.admission);
+  if (policy == nullptr) return std::nullopt;
+  const auto gang = static_cast<std::uint32_t>(record.job.gang.accelerators);
+  if (allocator_.tree().free() >= gang) return std::nullopt;
+  if (accounts_[record.account].has_guarantee &&
+      UnusedGuarantee(allocator_.tree(), allocator_.clusters(),
+                      record.account) >= gang) {
+    return std::nullopt;
+  }
+  const auto wait = drain_.ExpectedWait(queue_.demand(), record.job.priority,
+                                        record.level, policy->min_starts, now);
+  if (!wait || now + *wait < record.job.deadline) return std::nullopt;
+  const Duration over = now + *wait - record.job.deadline;
+  return NotRun(Reason::kDeadlineUnreachable,
+                std::clamp(over, kMinRetryAfter, kMaxRetryAfter));
+}
+
+std::optional<Refusal> Scheduler::State::Refuse(const JobRecord& record,
+                                                TimePoint now) const {
+  const Job& job = record.job;
+  if (job.gang.accelerators < 1 ||
+      job.gang.accelerators > kMaxGangAccelerators ||
+      !allocator_.IsPossible(job.gang)) {
+    return NotRun(Reason::kGangImpossible, Duration{});
+  }
+  if (job.deadline <= now) {
+    return NotRun(Reason::kDeadlinePassed, Duration{});
+  }
+  // A job that comes back was accepted before; as many can come back as run.
+  const bool returning = job.arrival < now;
+  const std::uint32_t room = returning ? allocator_.tree().total() : 0;
+  if (queue_.size() >= settings_.max_waiting_jobs + room) {
+    return NotRun(Reason::kQueueFull, DrainTime(record, now));
+  }
+  if (returning) return std::nullopt;
+  if (queue_.WaitingOf(record.account) >=
+      accounts_[record.account].max_waiting) {
+    return NotRun(Reason::kAccountQueueFull, DrainTime(record, now));
+  }
+  return RefuseDeadline(record, now);
+}
+
+LoadSummary Scheduler::State::Summary(TimePoint now) const {
+  LoadSummary summary;
+  summary.free_accelerators = allocator_.tree().free();
+  summary.total_accelerators = allocator_.tree().total();
+  summary.waiting_jobs = static_cast<std::uint32_t>(jobs_.size()) - running_;
+  summary.running_jobs = running_;
+  summary.largest_free_shape = allocator_.tree().LargestFreeShape();
+  if (summary.free_accelerators == 0) {
+    const auto wait =
+        drain_.ExpectedWait(queue_.demand(), Priority::kNormal, 0, 1, now);
+    summary.expected_wait = wait.value_or(kMaxRetryAfter);
+  }
+  return summary;
+}
+
+std::vector<GuaranteeFault> Scheduler::State::GuaranteeFaults() const {
+  std::vector<GuaranteeFault> faults;
+  const LevelCounts deficit = allocator_.clusters().Deficit(allocator_.tree());
+  for (std::size_t i = 0; i < kLevels; ++i) {
+    if (deficit[i] == 0) continue;
+    GuaranteeFault fault;
+    fault.level = static_cast<ShapeLevel>(i);
+    fault.missing = static_cast<std::uint32_t>(deficit[i]);
+    for (AccountIndex a = 0; a < accounts_.size(); ++a) {
+      const auto& guaranteed = allocator_.clusters().cluster(a).guaranteed;
+      const bool holds = std::any_of(
+          guaranteed.begin() + static_cast<std::ptrdiff_t>(i), guaranteed.end(),
+          [](std::uint32_t count) { return count > 0; });
+      if (holds) fault.accounts.push_back(accounts_[a].id);
+    }
+    faults.push_back(std::move(fault));
+  }
+  return faults;
+}
+
+std::optional<std::string> Scheduler::State::Explain(const CallId& id,
+                                                     TimePoint now) const {
+  const JobIndex job = jobs_.Find(id);
+  if (job == kNoJob || !jobs_.at(job).IsWaiting()) return std::nullopt;
+  const JobRecord& record = jobs_.at(job);
+  if (record.state == JobState::kReady) return "It starts at once.";
+  if (record.state == JobState::kClaiming) {
+    return "It waits until borrowed work on its accelerators has stopped.";
+  }
+  const std::string gang = std::to_string(record.job.gang.accelerators);
+  if (reservation_ && reservation_->job == job) {
+    return "Accelerators are being kept for its gang of " + gang + ".";
+  }
+  const std::uint32_t free = allocator_.tree().free();
+  std::string text =
+      "It needs " + gang + " accelerators (adjacency " +
+      std::string(RowOf(kAdjacencyNames, record.job.gang.adjacency).name) +
+      "); " + std::to_string(free) + " are free, " +
+      std::to_string(queue_.size()) + " jobs wait, level " +
+      std::to_string(record.level) + ", waited " +
+      std::to_string(ToMilliseconds(now - record.job.arrival)) + " ms.";
+  return text;
+}
+
+}  // namespace jasminespar::scheduling
--- /dev/null
+++ b/packages/scheduling/src/cell_tree.cc
@@ -0,0 +1,139 @@
+#include "jasminespar/scheduling/cell_tree.h"
+
+#include <algorithm>
+#include <bit>
+#include <tuple>
+
+namespace jasminespar::scheduling {
+namespace {
+
+static_assert(static_cast<int>(Adjacency::kAny) == 0 &&
+              static_cast<int>(Adjacency::kRack) == 1 &&
+              static_cast<int>(Adjacency::kWorker) == 2);
+
+constexpr std::size_t IndexOf(ShapeLevel level) {
+  return static_cast<std::size_t>(level);
+}
+
+}  // namespace
+
+CellTree::CellTree(const configuration::CellTopology& topology) {
+  std::vector<configuration::Worker> sorted = topology.workers;
+  std::sort(sorted.begin(), sorted.end(), [](const auto& a, const auto& b) {
+    return std::tie(a.rack, a.id) < std::tie(b.rack, b.id);
+  });
+  for (const configuration::Worker& worker : sorted) {
+    const auto index = static_cast<WorkerIndex>(workers_.size());
+    if (racks_.empty() || racks_.back().number != worker.rack) {
+      racks_.push_back(TreeRack{worker.rack, index, index, 0, 0});
+    }
+    racks_.back().end = index + 1;
+    TreeWorker entry;
+    entry.id = worker.id;
+    entry.rack = static_cast<RackIndex>(racks_.size() - 1);
+    entry.size = worker.accelerators;
+    entry.all = LowBits(worker.accelerators);
+    entry.live = worker.state == configuration::MachineState::kLive;
+    workers_.push_back(entry);
+    index_[worker.id] = index;
+    worker_size_ = std::max(worker_size_, worker.accelerators);
+  }
+  for (const TreeRack& rack : racks_) {
+    rack_size_ = std::max(rack_size_, rack.end - rack.begin);
+    std::uint32_t in_rack = 0;
+    for (WorkerIndex i = rack.begin; i < rack.end; ++i) {
+      in_rack += static_cast<std::uint32_t>(workers_[i].size);
+    }
+    auto& [any, one_rack, one_worker] = capacity_;
+    any += in_rack;
+    one_rack = std::max(one_rack, in_rack);
+    one_worker = static_cast<std::uint32_t>(worker_size_);
+  }
+  for (WorkerIndex i = 0; i < workers_.size(); ++i) Count(i);
+}
+
+std::optional<WorkerIndex> CellTree::Find(WorkerId id) const {
+  const auto found = index_.find(id);
+  if (found == index_.end()) return std::nullopt;
+  return found->second;
+}
+
+void CellTree::Add(WorkerIndex index, int sign) {
+  const TreeWorker& worker = workers_[index];
+  TreeRack& rack = racks_[worker.rack];
+  const std::uint64_t cover = worker.cover();
+  const auto free = static_cast<std::uint32_t>(std::popcount(worker.free()));
+  const auto step = static_cast<std::uint32_t>(sign);  // Wraps for -1.
+  free_ += step * free;
+  rack.free += step * free;
+  if (worker.usable()) total_ += step * static_cast<std::uint32_t>(worker.size);
+  cover_[IndexOf(ShapeLevel::kAccelerator)] += sign * std::popcount(cover);
+  cover_[IndexOf(ShapeLevel::kPair)] += sign * std::popcount(PairsOf(cover));
+  cover_[IndexOf(ShapeLevel::kQuad)] += sign * std::popcount(QuadsOf(cover));
+  if (cover != worker.all || !IsFullWorker(index) || cover == 0) return;
+  cover_[IndexOf(ShapeLevel::kWorker)] += sign;
+  // The rack counts as long as all its workers do: before the first is taken
+  // away and after the last has come back.
+  if (sign < 0 && IsWholeCover(rack)) --cover_[IndexOf(ShapeLevel::kRack)];
+  rack.whole_cover += step;
+  if (sign > 0 && IsWholeCover(rack)) ++cover_[IndexOf(ShapeLevel::kRack)];
+}
+
+LevelCounts CellTree::CountCover() const {
+  LevelCounts counts{};
+  for (const TreeRack& rack : racks_) {
+    std::uint32_t whole = 0;
+    for (WorkerIndex i = rack.begin; i < rack.end; ++i) {
+      const std::uint64_t cover = workers_[i].cover();
+      counts[IndexOf(ShapeLevel::kAccelerator)] += std::popcount(cover);
+      counts[IndexOf(ShapeLevel::kPair)] += std::popcount(PairsOf(cover));
+      counts[IndexOf(ShapeLevel::kQuad)] += std::popcount(QuadsOf(cover));
+      if (IsFullWorker(i) && cover != 0 && cover == workers_[i].all) ++whole;
+    }
+    counts[IndexOf(ShapeLevel::kWorker)] += whole;
+    if (whole == rack_size_ && rack.end - rack.begin == rack_size_) {
+      ++counts[IndexOf(ShapeLevel::kRack)];
+    }
+  }
+  return counts;
+}
+
+std::int64_t CellTree::Ratio(ShapeLevel outer, ShapeLevel inner) const {
+  const std::array<std::int64_t, kLevels> accelerators{
+      1, 2, 4, worker_size_,
+      static_cast<std::int64_t>(worker_size_) * rack_size_};
+  if (outer < inner) return 0;
+  if (inner == ShapeLevel::kRack) return 1;
+  if (outer <= ShapeLevel::kWorker || inner == ShapeLevel::kWorker) {
+    const std::int64_t size = accelerators[IndexOf(inner)];
+    return size == 0 ? 0 : accelerators[IndexOf(outer)] / size;
+  }
+  // Pairs and quads do not cross workers.
+  return worker_size_ / accelerators[IndexOf(inner)] * rack_size_;
+}
+
+std::uint32_t CellTree::LargestFreeShape() const {
+  std::uint32_t largest = 0;
+  for (const TreeRack& rack : racks_) {
+    std::uint32_t whole = 0;
+    std::uint32_t best = 0;
+    for (WorkerIndex i = rack.begin; i < rack.end; ++i) {
+      const std::uint64_t free = workers_[i].free();
+      const auto size = static_cast<std::uint32_t>(workers_[i].size);
+      if (free == workers_[i].all) {
+        whole += size;
+        best = std::max(best, size);
+      } else if (QuadsOf(free) != 0) {
+        best = std::max(best, 4U);
+      } else if (PairsOf(free) != 0) {
+        best = std::max(best, 2U);
+      } else if (free != 0) {
+        best = std::max(best, 1U);
+      }
+    }
+    largest = std::max({largest, best, whole});
+  }
+  return largest;
+}
+
+}  // namespace jasminespar::scheduling
--- /dev/null
+++ b/packages/scheduling/src/decide.cc
@@ -0,0 +1,218 @@
+/// @file
+/// The decisions of a Scheduler: what is started, reclaimed and dropped.
+
+#include <algorithm>
+#include <limits>
+#include <utility>
+
+#include "jasminespar/core/overloaded.h"
+#include "jasminespar/scheduling/invariant.h"
+#include "scheduler_state.h"
+
+namespace jasminespar::scheduling {
+namespace {
+
+/// A decision that gives claims back is followed by another pass.
+constexpr int kMaxPasses = 4;
+
+}  // namespace
+
+std::vector<Action> Scheduler::State::Decide(TimePoint now) {
+  actions_.clear();
+  EndQuarantines(now);
+  DropExpired(now);
+  for (const JobIndex job : std::exchange(ready_, {})) StartNow(job, now);
+  for (int pass = 0; pass == 0 || (freed_ && pass < kMaxPasses); ++pass) {
+    full_pass_ = std::exchange(freed_, false);
+    RunPolicy(now);
+    new_heads_.clear();
+  }
+  allocator_.CheckDecision();
+  if (settings_.validation == Validation::kFull) allocator_.CheckFully();
+  return std::exchange(actions_, {});
+}
+
+void Scheduler::State::EndQuarantines(TimePoint now) {
+  for (const WorkerId worker : health_.TakeRecovered(now)) {
+    const auto index = allocator_.tree().Find(worker);
+    if (!index) continue;
+    ReturnClaims(allocator_.SetQuarantined(*index, false));
+    NoteFreed();
+  }
+}
+
+void Scheduler::State::DropExpired(TimePoint now) {
+  while (const auto first = queue_.FirstDeadline()) {
+    if (first->arrival > now) return;
+    const CallId id = jobs_.at(first->job).job.id;
+    Remove(id);
+    actions_.emplace_back(DropJob{
+        id, Refusal{Reason::kDeadlinePassed, Verdict::kNotRun, Duration{},
+                    "The deadline passed while the call waited."}});
+  }
+}
+
+void Scheduler::State::RunPolicy(TimePoint now) {
+  std::visit(
+      Overloaded{
+          [&](const FirstComeFirstServed&) { RunInOrder(now); },
+          [&](const DeclaredBackfill& policy) { RunBackfill(policy, now); },
+          [&](const LeastAttainedService& policy) {
+            RunLeastAttained(policy, now);
+          },
+      },
+      settings_.queue);
+}
+
+void Scheduler::State::RunInOrder(TimePoint now) {
+  if (!full_pass_ && new_heads_.empty()) return;
+  while (!queue_.buckets().empty()) {
+    const JobIndex head = queue_.buckets().begin()->second.begin()->job;
+    if (!TryStart(head, now)) return;
+  }
+}
+
+TimePoint Scheduler::State::DeclaredStart(JobIndex head, TimePoint now) const {
+  // The head starts once enough running gangs have come to their declared end.
+  std::vector<std::pair<TimePoint, int>> ends;
+  jobs_.ForEach([&](JobIndex, const JobRecord& record) {
+    if (record.IsWaiting()) return;
+    ends.emplace_back(
+        std::max(now, record.started + record.job.declared_run_time),
+        record.job.gang.accelerators);
+  });
+  std::sort(ends.begin(), ends.end());
+  int free = static_cast<int>(allocator_.tree().free());
+  for (const auto& [end, accelerators] : ends) {
+    free += accelerators;
+    if (free >= jobs_.at(head).job.gang.accelerators) return end;
+  }
+  return TimePoint::max();
+}
+
+void Scheduler::State::RunBackfill(const DeclaredBackfill& policy,
+                                   TimePoint now) {
+  RunInOrder(now);
+  if (queue_.buckets().empty()) return;
+  const Bucket& line = queue_.buckets().begin()->second;
+  const TimePoint head_start = DeclaredStart(line.begin()->job, now);
+  std::vector<JobIndex> behind;
+  for (auto it = std::next(line.begin());
+       it != line.end() && behind.size() < policy.depth; ++it) {
+    const Job& job = jobs_.at(it->job).job;
+    if (now + job.declared_run_time <= head_start) behind.push_back(it->job);
+  }
+  for (const JobIndex job : behind) {
+    if (allocator_.tree().free() == 0) return;
+    static_cast<void>(TryStart(job, now));
+  }
+}
+
+GangRequest Scheduler::State::RequestOf(JobIndex job) const {
+  const JobRecord& record = jobs_.at(job);
+  return {job, record.account, record.job.gang, record.job.reclaimable};
+}
+
+std::optional<Allocated> Scheduler::State::Allocate(JobIndex job) {
+  const GangRequest request = RequestOf(job);
+  const auto gang = static_cast<std::uint32_t>(request.shape.accelerators);
+  const bool guaranteed =
+      accounts_[request.account].has_guarantee &&
+      UnusedGuarantee(allocator_.tree(), allocator_.clusters(),
+                      request.account) >= gang;
+  if (guaranteed && allocator_.tree().free() >= gang) {
+    auto allocated =
+        allocator_.AllocateGuaranteed(request, ReclaimRule::kFreeOnly);
+    if (allocated) return allocated;
+  }
+  if (guaranteed) {
+    auto allocated =
+        allocator_.AllocateGuaranteed(request, ReclaimRule::kMayReclaim);
+    if (allocated) return allocated;
+  }
+  const Misses::Kind kind{request.shape.adjacency, request.reclaimable};
+  const auto miss = misses_.smallest.find(kind);
+  if (miss == misses_.smallest.end() ||
+      request.shape.accelerators < miss->second) {
+    if (auto allocated = allocator_.AllocateSpare(request)) return allocated;
+    misses_.smallest[kind] = request.shape.accelerators;
+  }
+  const Priority priority = jobs_.at(job).job.priority;
+  if (priority != Priority::kUrgent) return std::nullopt;
+  return AllocateUrgent(request, priority);
+}
+
+std::optional<Allocated> Scheduler::State::AllocateUrgent(
+    const GangRequest& request, Priority priority) {
+  Displaceable displaceable(allocator_.tree().workers().size());
+  jobs_.ForEach([&](JobIndex job, const JobRecord& record) {
+    if (record.state != JobState::kRunning) return;
+    if (record.job.priority <= priority) return;
+    const Gang& gang = allocator_.gang(job);
+    if (gang.hold != HoldClass::kBorrowed) return;
+    for (const Part& part : gang.parts) displaceable[part.worker] |= part.mask;
+  });
+  return allocator_.AllocateDisplacing(request, displaceable);
+}
+
+bool Scheduler::State::TryStart(JobIndex job, TimePoint now) {
+  const auto allocated = Allocate(job);
+  if (!allocated) return false;
+  Started(job, *allocated, now);
+  return true;
+}
+
+void Scheduler::State::Started(JobIndex job, const Allocated& allocated,
+                               TimePoint now) {
+  queue_.Remove(job, jobs_.at(job));
+  Charge(job);
+  if (reservation_ && reservation_->job == job) {
+    reservation_.reset();
+    allocator_.ClearReserved();
+    misses_.smallest.clear();
+  }
+  for (const JobIndex victim : allocated.reclaim) {
+    jobs_.at(victim).state = JobState::kReclaiming;
+    actions_.emplace_back(ReclaimGang{jobs_.at(victim).job.id});
+  }
+  ReturnClaims(allocated.returned);
+  if (allocated.ready) {
+    StartNow(job, now);
+  } else {
+    jobs_.at(job).state = JobState::kClaiming;
+  }
+}
+
+void Scheduler::State::StartNow(JobIndex job, TimePoint now) {
+  JobRecord& record = jobs_.at(job);
+  record.state = JobState::kRunning;
+  record.started = now;
+  ++running_;
+  drain_.RecordStart(record.job.priority, record.level,
+                     record.job.gang.accelerators, now);
+  StartGang start{record.job.id, {}};
+  for (const Part& part : allocator_.gang(job).parts) {
+    start.placement.parts.push_back(
+        {allocator_.tree().workers()[part.worker].id, part.mask});
+  }
+  actions_.emplace_back(std::move(start));
+}
+
+std::optional<TimePoint> Scheduler::State::NextDecision(TimePoint now) const {
+  if (freed_ || !new_heads_.empty() || !ready_.empty()) return now;
+  std::optional<TimePoint> next = health_.NextRecovery();
+  const auto consider = [&](TimePoint at) {
+    if (!next || at < *next) next = at;
+  };
+  if (const auto deadline = queue_.FirstDeadline()) {
+    consider(deadline->arrival);
+  }
+  if (reservation_ || queue_.grouping() == Grouping::kOneLine) return next;
+  for (const auto& [key, bucket] : queue_.buckets()) {
+    const TimePoint due = bucket.begin()->arrival + settings_.reservation_wait;
+    if (due > now) consider(due);
+  }
+  return next;
+}
+
+}  // namespace jasminespar::scheduling
--- /dev/null
+++ b/packages/scheduling/src/least_attained.cc
@@ -0,0 +1,149 @@
+/// @file
+/// The policy of least attained service, with the reservation for large gangs.
+
+#include <algorithm>
+#include <compare>
+#include <queue>
+#include <vector>
+
+#include "scheduler_state.h"
+
+namespace jasminespar::scheduling {
+namespace {
+
+/// Order in which the first jobs of the buckets are tried; smallest first.
+struct Rank {
+  Priority priority = Priority::kNormal;
+  std::int64_t level = 0;  ///< Aged; may be negative.
+  double share = 0;
+  TimePoint arrival;
+  JobIndex job = kNoJob;
+  auto operator<=>(const Rank&) const = default;
+};
+
+struct Entry {
+  Rank rank;
+  const BucketKey* key = nullptr;  ///< Of a bucket that has jobs.
+};
+
+struct Later {
+  bool operator()(const Entry& a, const Entry& b) const {
+    return a.rank > b.rank;
+  }
+};
+
+}  // namespace
+
+bool Scheduler::State::MayFit(const BucketKey& key) const {
+  const auto gang = static_cast<std::uint32_t>(key.shape.accelerators);
+  if (key.priority == Priority::kUrgent) return true;
+  if (allocator_.tree().free() >= gang) {
+    const auto miss =
+        misses_.smallest.find({key.shape.adjacency, key.reclaimable});
+    if (miss == misses_.smallest.end() ||
+        key.shape.accelerators < miss->second) {
+      return true;
+    }
+  }
+  return accounts_[key.account].has_guarantee &&
+         UnusedGuarantee(allocator_.tree(), allocator_.clusters(),
+                         key.account) >= gang;
+}
+
+void Scheduler::State::RunLeastAttained(const LeastAttainedService& policy,
+                                        TimePoint now) {
+  if (reservation_ || full_pass_) ServeReservation(now);
+  std::priority_queue<Entry, std::vector<Entry>, Later> order;
+  const auto push = [&](const BucketKey& key, JobIndex head) {
+    if (!MayFit(key)) return;
+    const JobRecord& record = jobs_.at(head);
+    const std::int64_t aged = policy.ageing > Duration{}
+                                  ? (now - record.job.arrival) / policy.ageing
+                                  : 0;
+    order.push(
+        Entry{Rank{key.priority, key.level - aged,
+                   accounts_[key.account].Share(), record.job.arrival, head},
+              &key});
+  };
+  const auto push_bucket = [&](const BucketKey& key) {
+    const auto bucket = queue_.buckets().find(key);
+    if (bucket == queue_.buckets().end()) return;
+    push(bucket->first, bucket->second.begin()->job);
+  };
+  if (full_pass_) {
+    for (const auto& [key, bucket] : queue_.buckets()) {
+      push(key, bucket.begin()->job);
+    }
+  } else {
+    for (const JobIndex job : new_heads_) {
+      if (jobs_.at(job).state != JobState::kWaiting) continue;
+      const BucketKey key = queue_.KeyOf(jobs_.at(job));
+      const auto bucket = queue_.buckets().find(key);
+      if (bucket->second.begin()->job == job) push(bucket->first, job);
+    }
+  }
+  while (!order.empty()) {
+    const Entry entry = order.top();
+    order.pop();
+    const BucketKey key = *entry.key;
+    if (!MayFit(key)) continue;
+    // The account may have been given accelerators since the entry was made.
+    if (entry.rank.share < accounts_[key.account].Share()) {
+      push_bucket(key);
+      continue;
+    }
+    if (TryStart(entry.rank.job, now)) push_bucket(key);
+  }
+}
+
+void Scheduler::State::MakeReservation(TimePoint now) {
+  std::optional<QueuePosition> oldest;
+  Priority priority = Priority::kBatch;
+  for (const auto& [key, bucket] : queue_.buckets()) {
+    const QueuePosition& head = *bucket.begin();
+    if (now - head.arrival < settings_.reservation_wait) continue;
+    if (oldest && (key.priority > priority ||
+                   (key.priority == priority && *oldest < head))) {
+      continue;
+    }
+    oldest = head;
+    priority = key.priority;
+  }
+  if (!oldest) return;
+  auto parts = allocator_.ChooseReservation(RequestOf(oldest->job));
+  if (!parts) return;
+  allocator_.SetReserved(*parts);
+  reservation_ = Reservation{oldest->job, now, std::move(*parts)};
+}
+
+void Scheduler::State::ServeReservation(TimePoint now) {
+  if (reservation_ &&
+      now - reservation_->made >= settings_.reservation_wait * 4) {
+    reservation_.reset();  // The place was lost to a guarantee: choose again.
+    allocator_.ClearReserved();
+  }
+  if (!reservation_) MakeReservation(now);
+  if (!reservation_) return;
+  const JobIndex job = reservation_->job;
+  allocator_.ClearReserved();
+  if (TryStart(job, now)) return;
+  Displaceable displaceable(allocator_.tree().workers().size());
+  for (const Part& part : reservation_->parts) {
+    displaceable[part.worker] |=
+        allocator_.HeldBorrowed(part, [&](JobIndex holder) {
+          const JobRecord& record = jobs_.at(holder);
+          return record.state == JobState::kRunning &&
+                 record.started >= reservation_->made &&
+                 record.job.priority >= jobs_.at(job).job.priority;
+        });
+  }
+  const auto allocated =
+      allocator_.AllocateDisplacing(RequestOf(job), displaceable);
+  if (allocated) {
+    Started(job, *allocated, now);
+    return;
+  }
+  allocator_.SetReserved(reservation_->parts);
+}
+
+}  // namespace jasminespar::scheduling
--- /dev/null
+++ b/packages/scheduling/src/scheduler_state.cc
@@ -0,0 +1,223 @@
+#include "scheduler_state.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "jasminespar/core/overloaded.h"
+#include "jasminespar/scheduling/invariant.h"
+
+namespace jasminespar::scheduling {
+namespace {
+
+constexpr std::size_t kMaxReclaimedRemembered = 10'000;
+
+Grouping GroupingOf(const QueuePolicy& policy) {
+  return std::visit(
+      Overloaded{
+          [](const FirstComeFirstServed&) { return Grouping::kOneLine; },
+          [](const DeclaredBackfill&) { return Grouping::kOneLine; },
+          [](const LeastAttainedService&) { return Grouping::kByKey; },
+      },
+      policy);
+}
+
+Duration WindowOf(const AdmissionPolicy& policy) {
+  return std::visit(
+      Overloaded{
+          [](const AdmitUntilFull&) { return RefuseUnreachable{}.window; },
+          [](const RefuseUnreachable& refuse) { return refuse.window; },
+      },
+      policy);
+}
+
+}  // namespace
+
+Scheduler::State::State(const PolicySettings& settings,
+                        const configuration::CellTopology& topology)
+    : settings_(settings),
+      allocator_(topology, settings.placement, settings.mutation),
+      queue_(GroupingOf(settings.queue)),
+      drain_(WindowOf(settings.admission)),
+      health_(HealthSettings{settings.quarantine_failures,
+                             settings.quarantine_time,
+                             settings.poison_failures}) {}
+
+AccountIndex Scheduler::State::AccountOf(const ClientAccountId& id) {
+  const auto next = static_cast<AccountIndex>(accounts_.size());
+  const auto [entry, added] = account_index_.try_emplace(id, next);
+  if (added) accounts_.push_back(AccountState{.id = id});
+  return entry->second;
+}
+
+void Scheduler::State::NoteFreed() {
+  freed_ = true;
+  misses_.smallest.clear();
+}
+
+void Scheduler::State::Charge(JobIndex job) {
+  // A guarantee's holder pays nothing from its share of what is borrowed.
+  if (allocator_.gang(job).hold == HoldClass::kGuaranteed) return;
+  JobRecord& record = jobs_.at(job);
+  record.charged = static_cast<std::uint32_t>(record.job.gang.accelerators);
+  accounts_[record.account].borrowed += record.charged;
+}
+
+void Scheduler::State::Discharge(JobIndex job) {
+  JobRecord& record = jobs_.at(job);
+  accounts_[record.account].borrowed -= std::exchange(record.charged, 0);
+}
+
+void Scheduler::State::ReturnClaims(const std::vector<JobIndex>& returned) {
+  for (const JobIndex job : returned) {
+    Discharge(job);
+    JobRecord& record = jobs_.at(job);
+    record.state = JobState::kWaiting;
+    queue_.Add(job, record);
+  }
+  if (!returned.empty()) NoteFreed();
+}
+
+void Scheduler::State::MarkReady(const std::vector<JobIndex>& ready) {
+  for (const JobIndex job : ready) {
+    jobs_.at(job).state = JobState::kReady;
+    ready_.push_back(job);
+  }
+}
+
+void Scheduler::State::ApplyTopology(
+    const configuration::CellTopology& topology) {
+  reservation_.reset();
+  allocator_.ClearReserved();
+  ReturnClaims(allocator_.ApplyTopology(topology));
+  NoteFreed();
+}
+
+void Scheduler::State::ApplyShare(const configuration::CellShare& share) {
+  for (AccountState& account : accounts_) {
+    account = AccountState{.id = account.id, .borrowed = account.borrowed};
+  }
+  std::vector<std::vector<configuration::Guarantee>> guarantees(
+      accounts_.size());
+  for (const configuration::ClientAccount& account : share.accounts) {
+    const AccountIndex index = AccountOf(account.id);
+    guarantees.resize(accounts_.size());
+    accounts_[index].weight = account.weight;
+    accounts_[index].max_waiting = account.max_waiting_calls;
+    accounts_[index].has_guarantee = !account.guarantees.empty();
+    guarantees[index] = account.guarantees;
+  }
+  allocator_.ApplyGuarantees(guarantees);
+  jobs_.ForEach([&](JobIndex job, const JobRecord&) {
+    if (!allocator_.Holds(job)) return;
+    Discharge(job);
+    Charge(job);
+  });
+  NoteFreed();
+}
+
+std::optional<Refusal> Scheduler::State::Enqueue(const Job& job,
+                                                 TimePoint now) {
+  Ensure(jobs_.Find(job.id) == kNoJob, "a job was enqueued twice");
+  JobRecord record;
+  record.job = job;
+  record.account = AccountOf(job.account);
+  const auto earlier = attained_.find(job.id);
+  if (earlier != attained_.end()) record.attained = earlier->second;
+  record.level = LevelOf(job, record.attained);
+  if (auto refusal = Refuse(record, now)) return refusal;
+  if (earlier != attained_.end()) attained_.erase(earlier);
+  const JobIndex index = jobs_.Add(std::move(record));
+  if (queue_.Add(index, jobs_.at(index))) new_heads_.push_back(index);
+  return std::nullopt;
+}
+
+bool Scheduler::State::Remove(const CallId& id) {
+  const JobIndex job = jobs_.Find(id);
+  if (job == kNoJob || !jobs_.at(job).IsWaiting()) return false;
+  std::erase(ready_, job);
+  std::erase(new_heads_, job);
+  if (jobs_.at(job).state == JobState::kWaiting) {
+    queue_.Remove(job, jobs_.at(job));
+    // A blocked head may have stood before jobs that fit.
+    if (queue_.grouping() == Grouping::kOneLine) freed_ = true;
+    if (reservation_ && reservation_->job == job) {
+      reservation_.reset();
+      allocator_.ClearReserved();
+      NoteFreed();
+    }
+  } else {
+    Discharge(job);
+    MarkReady(allocator_.Release(job));
+    NoteFreed();
+  }
+  jobs_.Erase(job);
+  return true;
+}
+
+void Scheduler::State::Adopt(const Job& job, const Placement& placement,
+                             TimePoint now) {
+  Ensure(jobs_.Find(job.id) == kNoJob, "a job was adopted twice");
+  JobRecord record;
+  record.job = job;
+  record.account = AccountOf(job.account);
+  record.state = JobState::kRunning;
+  record.started = now;
+  record.level = LevelOf(job, Duration{});
+  std::vector<Part> parts;
+  for (const Allocation& part : placement.parts) {
+    if (const auto worker = allocator_.tree().Find(part.worker)) {
+      parts.push_back({*worker, part.accelerators});
+    }
+  }
+  const JobIndex index = jobs_.Add(std::move(record));
+  if (!allocator_.Adopt(RequestOf(index), parts)) {
+    jobs_.Erase(index);
+    return;
+  }
+  Charge(index);
+  ++running_;
+}
+
+void Scheduler::State::Release(const CallId& id, TimePoint now) {
+  const JobIndex job = jobs_.Find(id);
+  if (job == kNoJob || jobs_.at(job).IsWaiting()) return;
+  const JobRecord& record = jobs_.at(job);
+  const Duration total = record.attained + (now - record.started);
+  if (record.state == JobState::kReclaiming) {
+    if (attained_.size() >= kMaxReclaimedRemembered) attained_.clear();
+    attained_[id] = total;
+  }
+  Discharge(job);
+  MarkReady(allocator_.Release(job));
+  jobs_.Erase(job);
+  --running_;
+  NoteFreed();
+}
+
+void Scheduler::State::RecordResult(const CallId& id, WorkerId worker,
+                                    TaskResult result, TimePoint now) {
+  if (result == TaskResult::kSucceeded) {
+    const JobIndex job = jobs_.Find(id);
+    // Each part reports; the first that ends speaks for the gang.
+    if (job != kNoJob && jobs_.at(job).state == JobState::kRunning &&
+        worker == allocator_.FirstWorker(job)) {
+      const JobRecord& record = jobs_.at(job);
+      run_times_.Record(record.job.service, record.job.gang.accelerators,
+                        record.attained + (now - record.started));
+    }
+    health_.RecordSuccess(id, worker);
+    return;
+  }
+  const auto index = allocator_.tree().Find(worker);
+  if (!index) return;
+  const std::size_t workers = allocator_.tree().workers().size();
+  if (health_.RecordFailure(id, worker, workers, now)) {
+    ReturnClaims(allocator_.SetQuarantined(*index, true));
+  }
+}
+
+bool Scheduler::State::IsPoison(const CallId& id) const {
+  return health_.IsPoison(id);
+}
+
+}  // namespace jasminespar::scheduling
