--- a/packages/scheduling/include/jasminespar/scheduling/allocator.h
+++ b/packages/scheduling/include/jasminespar/scheduling/allocator.h
@@ -139,6 +139,10 @@
   /// @return whether such a gang could run on the cell if it were empty.
   [[nodiscard]] bool IsPossible(const GangShape& shape) const;
 
+  /// @return shapes of each level that are promised and not there: missing
+  ///     from the cover, or bound to a place that has lost a worker.
+  [[nodiscard]] LevelCounts Missing() const;
+
   /// Checks the running counters after a decision.
   /// @throws InvariantViolation
   void CheckDecision();
@@ -162,6 +166,7 @@
                    std::vector<JobIndex>& ready);
   [[nodiscard]] std::vector<JobIndex> GiveUpUnusable();
   void DissolveDamaged();
+  [[nodiscard]] bool IsDamaged(BindingId id) const;
   void DissolveWithdrawn();
   void DropUses(BindingId binding, bool to_borrowed);
   void Rebuild(const configuration::CellTopology& topology);
--- a/packages/scheduling/include/jasminespar/scheduling/guarantee_plan.h
+++ b/packages/scheduling/include/jasminespar/scheduling/guarantee_plan.h
@@ -37,6 +37,14 @@
     CellTree& tree, VirtualClusters& clusters, AccountIndex account,
     const GangShape& shape, ReclaimRule rule);
 
+/// Binds the account's shapes around accelerators on which a gang already
+/// runs, without regard to the cover rule: what runs is a fact.
+/// @return the uses, or nothing, when the guarantee does not hold the whole
+///     gang, and then nothing is changed.
+[[nodiscard]] std::optional<std::vector<BindingUse>> AdoptInGuarantee(
+    CellTree& tree, VirtualClusters& clusters, AccountIndex account,
+    const std::vector<Part>& parts);
+
 /// Upper bound on what the account's guarantee still has for a gang.
 /// @return accelerators.
 [[nodiscard]] std::uint32_t UnusedGuarantee(const CellTree& tree,
--- a/packages/scheduling/src/admission.cc
+++ b/packages/scheduling/src/admission.cc
@@ -111,7 +111,7 @@
 
 std::vector<GuaranteeFault> Scheduler::State::GuaranteeFaults() const {
   std::vector<GuaranteeFault> faults;
-  const LevelCounts deficit = allocator_.clusters().Deficit(allocator_.tree());
+  const LevelCounts deficit = allocator_.Missing();
   for (std::size_t i = 0; i < kLevels; ++i) {
     if (deficit[i] == 0) continue;
     GuaranteeFault fault;
--- a/packages/scheduling/src/allocator.cc
+++ b/packages/scheduling/src/allocator.cc
@@ -169,9 +169,13 @@
   Gang gang = std::exchange(gangs_[job], Gang{});
   const bool firm = gang.hold != HoldClass::kBorrowed;
   for (const Part& part : gang.parts) ReleasePart(part, job, firm, ready);
+  bool damaged = false;
   for (const BindingUse& use : gang.uses) {
+    damaged = damaged || IsDamaged(use.binding);
     clusters_.EndUse(tree_, use.binding, use.accelerators);
   }
+  // A shape that had lost a worker now lacks a place altogether.
+  if (damaged) clusters_.AcceptDeficit(tree_);
   return ready;
 }
 
@@ -216,9 +220,13 @@
     if (mask != 0) held.push_back({part.worker, mask});
   }
   if (held.empty()) return false;
-  const HoldClass hold =
+  auto uses = AdoptInGuarantee(tree_, clusters_, request.account, held);
+  const HoldClass outside =
       request.reclaimable ? HoldClass::kBorrowed : HoldClass::kFirm;
-  static_cast<void>(Commit(request, hold, std::move(held), {}));
+  const HoldClass hold = uses ? HoldClass::kGuaranteed : outside;
+  static_cast<void>(
+      Commit(request, hold, std::move(held),
+             std::move(uses).value_or(std::vector<BindingUse>{})));
   clusters_.AcceptDeficit(tree_);
   return true;
 }
--- a/packages/scheduling/src/allocator_changes.cc
+++ b/packages/scheduling/src/allocator_changes.cc
@@ -162,18 +162,32 @@
   return returned;
 }
 
+bool Allocator::IsDamaged(BindingId id) const {
+  const Subtree& place = clusters_.binding(id).place;
+  for (WorkerIndex w = place.begin; w < place.end; ++w) {
+    if (!tree_.workers()[w].usable()) return true;
+  }
+  return false;
+}
+
+LevelCounts Allocator::Missing() const {
+  LevelCounts missing = clusters_.Deficit(tree_);
+  for (AccountIndex a = 0; a < clusters_.size(); ++a) {
+    for (const BindingId id : clusters_.cluster(a).bindings) {
+      const ShapeLevel level = clusters_.binding(id).place.level;
+      if (IsDamaged(id)) ++missing[static_cast<std::size_t>(level)];
+    }
+  }
+  return missing;
+}
+
 /// Frees shapes that have lost a worker from it, where the rest of the cell
 /// can replace them: so the loss is charged to slack first.
 void Allocator::DissolveDamaged() {
   for (AccountIndex a = 0; a < clusters_.size(); ++a) {
     const std::vector<BindingId> bindings = clusters_.cluster(a).bindings;
     for (const BindingId id : bindings) {
-      const Subtree place = clusters_.binding(id).place;
-      bool damaged = false;
-      for (WorkerIndex w = place.begin; w < place.end; ++w) {
-        damaged = damaged || !tree_.workers()[w].usable();
-      }
-      if (!damaged) continue;
+      if (!IsDamaged(id)) continue;
       const LevelCounts before = clusters_.Deficit(tree_);
       VirtualClusters tried = clusters_;
       CellTree tried_tree = tree_;
