Compare policies on seeded traces in virtual time

Cause: no policy idea can be kept or reverted without figures. Ruled out: a cluster simulator; the driver is a loop of arrivals and ends.

--- /dev/null
+++ b/benchmark/policy.cc
@@ -0,0 +1,179 @@
+/// @file
+/// Compares scheduling policies on seeded traces in virtual time.
+///
+///     bench_policy [SEEDS] [FIRST_SEED] > policy.csv
+///
+/// One CSV row for each user, policy and seed goes to stdout; a Markdown table
+/// of means and ranges over the seeds goes to stderr.
+
+#include <algorithm>
+#include <cmath>
+#include <cstdio>
+#include <cstdlib>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "policy_driver.h"
+#include "policy_trace.h"
+
+namespace jasminespar::benchmark {
+namespace {
+
+constexpr std::uint64_t kDefaultSeeds = 10;
+
+struct NamedPolicy {
+  std::string_view name;
+  scheduling::PolicySettings settings;
+};
+
+std::vector<NamedPolicy> Policies() {
+  using namespace scheduling;  // NOLINT(google-build-using-namespace)
+  PolicySettings first_fit;
+  first_fit.queue = FirstComeFirstServed{};
+  first_fit.placement = FirstFit{};
+  first_fit.admission = AdmitUntilFull{};
+  PolicySettings backfill = first_fit;
+  backfill.queue = DeclaredBackfill{};
+  backfill.placement = BestFit{};
+  PolicySettings attained;
+  attained.admission = AdmitUntilFull{};
+  attained.queue = LeastAttainedService{.learn_run_times = false};
+  PolicySettings learned = attained;
+  learned.queue = LeastAttainedService{};
+  PolicySettings refusing = learned;
+  refusing.admission = RefuseUnreachable{};
+  return {{"fcfs_first_fit", first_fit},
+          {"backfill_best_fit", backfill},
+          {"least_attained", attained},
+          {"with_learning", learned},
+          {"with_refusal", refusing}};
+}
+
+struct Metric {
+  std::string_view name;
+  double (*value)(Results&);
+};
+
+double Mean(const std::vector<double>& values) {
+  double sum = 0;
+  for (const double value : values) sum += value;
+  return values.empty() ? 0 : sum / static_cast<double>(values.size());
+}
+
+double Quantile(std::vector<double>& values, double quantile) {
+  if (values.empty()) return 0;
+  const auto at = static_cast<std::size_t>(
+      quantile * static_cast<double>(values.size() - 1));
+  std::nth_element(values.begin(),
+                   values.begin() + static_cast<std::ptrdiff_t>(at),
+                   values.end());
+  return values[at];
+}
+
+double Share(std::uint64_t part, std::uint64_t whole) {
+  return whole == 0
+             ? 0
+             : 100.0 * static_cast<double>(part) / static_cast<double>(whole);
+}
+
+constexpr Metric kMetrics[] = {
+    {"completion_mean_s", [](Results& r) { return Mean(r.completion); }},
+    {"completion_p50_s",
+     [](Results& r) { return Quantile(r.completion, 0.5); }},
+    {"completion_p99_s",
+     [](Results& r) { return Quantile(r.completion, 0.99); }},
+    {"large_completion_mean_s",
+     [](Results& r) { return Mean(r.large_completion); }},
+    {"large_completion_p99_s",
+     [](Results& r) { return Quantile(r.large_completion, 0.99); }},
+    {"short_wait_p50_s",
+     [](Results& r) { return Quantile(r.short_wait, 0.5); }},
+    {"short_wait_p99_s",
+     [](Results& r) { return Quantile(r.short_wait, 0.99); }},
+    {"crest_in_time_percent",
+     [](Results& r) { return Share(r.crest_in_time, r.crest_jobs); }},
+    {"refused_percent", [](Results& r) { return Share(r.refused, r.jobs); }},
+    {"dropped_percent", [](Results& r) { return Share(r.dropped, r.jobs); }},
+    {"idle_while_waiting_percent",
+     [](Results& r) {
+       return r.waiting_seconds > 0
+                  ? 100 * r.idle_share_seconds / r.waiting_seconds
+                  : 0;
+     }},
+    {"largest_free_shape",
+     [](Results& r) {
+       return r.waiting_seconds > 0
+                  ? r.largest_shape_seconds / r.waiting_seconds
+                  : 0;
+     }},
+    {"reclaims", [](Results& r) { return static_cast<double>(r.reclaims); }},
+    {"guaranteed_calls",
+     [](Results& r) { return static_cast<double>(r.guaranteed); }},
+    {"missed_guarantees",
+     [](Results& r) { return static_cast<double>(r.missed); }},
+};
+
+void PrintHeader() {
+  std::printf("user,policy,seed,jobs");
+  for (const Metric& metric : kMetrics) {
+    std::printf(",%.*s", static_cast<int>(metric.name.size()),
+                metric.name.data());
+  }
+  std::printf("\n");
+}
+
+void RunPolicy(User user, const NamedPolicy& policy, std::uint64_t seeds,
+               std::uint64_t first) {
+  std::vector<std::vector<double>> columns(std::size(kMetrics));
+  const std::string user_name(RowOf(kUserNames, user).name);
+  for (std::uint64_t seed = first; seed < first + seeds; ++seed) {
+    Results results;
+    for (std::uint32_t cell = 0; cell < CellsOf(user); ++cell) {
+      RunTrace(MakeTrace(user, seed, cell), policy.settings, ReclaimModel{},
+               results);
+    }
+    std::printf("%s,%s,%llu,%llu", user_name.c_str(),
+                std::string(policy.name).c_str(),
+                static_cast<unsigned long long>(seed),
+                static_cast<unsigned long long>(results.jobs));
+    for (std::size_t i = 0; i < std::size(kMetrics); ++i) {
+      columns[i].push_back(kMetrics[i].value(results));
+      std::printf(",%.4g", columns[i].back());
+    }
+    std::printf("\n");
+  }
+  std::fprintf(stderr, "| %s | %s |", user_name.c_str(),
+               std::string(policy.name).c_str());
+  for (std::vector<double>& column : columns) {
+    const auto [low, high] = std::minmax_element(column.begin(), column.end());
+    std::fprintf(stderr, " %.3g (%.3g-%.3g) |", Mean(column), *low, *high);
+  }
+  std::fprintf(stderr, "\n");
+}
+
+void Run(std::uint64_t seeds, std::uint64_t first) {
+  PrintHeader();
+  std::fprintf(stderr, "| user | policy |");
+  for (const Metric& metric : kMetrics) {
+    std::fprintf(stderr, " %s |", std::string(metric.name).c_str());
+  }
+  std::fprintf(stderr, "\n");
+  for (const auto& user : kUserNames) {
+    for (const NamedPolicy& policy : Policies()) {
+      RunPolicy(user.value, policy, seeds, first);
+    }
+  }
+}
+
+}  // namespace
+}  // namespace jasminespar::benchmark
+
+int main(int argc, char** argv) {
+  const auto argument = [&](int index, std::uint64_t otherwise) {
+    return argc > index ? std::strtoull(argv[index], nullptr, 10) : otherwise;
+  };
+  jasminespar::benchmark::Run(
+      argument(1, jasminespar::benchmark::kDefaultSeeds), argument(2, 1));
+  return 0;
+}
