Let guaranteed calls wait 300 ms before they reclaim

Cause: at Sao Mai's crest guaranteed calls of a second reclaimed borrowed calls of a second, which costs a checkpoint and a restart each; accelerators came free by themselves within tens of milliseconds. Ruled out: patience for every job. Change: a guaranteed job of the first level goes before borrowers and reclaims only after 300 ms; it does not borrow meanwhile. Timers wake the scheduler. Found on the way, each with a test that failed before: two long-waiting gangs displaced each other for ever through the reservation (a gang gives way to an older one only); a job with room in its guarantee ran as a borrower.

--- a/benchmark/policy.cc
+++ b/benchmark/policy.cc
@@ -38,16 +38,17 @@
   backfill.placement = BestFit{};
   PolicySettings attained;
   attained.admission = AdmitUntilFull{};
-  attained.queue = LeastAttainedService{.learn_run_times = false};
+  attained.queue = LeastAttainedService{.learn_run_times = false,
+                                        .reclaim_patience = Duration{}};
   PolicySettings learned = attained;
-  learned.queue = LeastAttainedService{};
+  learned.queue = LeastAttainedService{.reclaim_patience = Duration{}};
   PolicySettings refusing = learned;
   refusing.admission = RefuseUnreachable{};
-  return {{"fcfs_first_fit", first_fit},
-          {"backfill_best_fit", backfill},
-          {"least_attained", attained},
-          {"with_learning", learned},
-          {"with_refusal", refusing}};
+  PolicySettings patient = refusing;
+  patient.queue = LeastAttainedService{};
+  return {{"fcfs_first_fit", first_fit}, {"backfill_best_fit", backfill},
+          {"least_attained", attained},  {"with_learning", learned},
+          {"with_refusal", refusing},    {"with_patience", patient}};
 }
 
 struct Metric {
--- a/packages/scheduling/include/jasminespar/scheduling/policy.h
+++ b/packages/scheduling/include/jasminespar/scheduling/policy.h
@@ -36,6 +36,11 @@
   /// How long a job of a better level waits before a running, reclaimable job
   /// outside its guarantee gives way to it; zero: never.
   Duration give_way_wait{};
+  /// How long a gang runs at least before it gives way.
+  Duration give_way_min_run = 10s;
+  /// How long a guaranteed job waits for accelerators to come free before
+  /// borrowed work is reclaimed for it. It goes before borrowers meanwhile.
+  Duration reclaim_patience = 300ms;
 };
 
 using QueuePolicy =
--- a/packages/scheduling/include/jasminespar/scheduling/waiting_queue.h
+++ b/packages/scheduling/include/jasminespar/scheduling/waiting_queue.h
@@ -57,6 +57,10 @@
     return buckets_;
   }
   [[nodiscard]] BucketKey KeyOf(const JobRecord& record) const;
+  /// @return a number that no other entry of a job into the queue has had.
+  [[nodiscard]] std::uint64_t EntryOf(JobIndex job) const {
+    return sequence_[job];
+  }
   [[nodiscard]] Grouping grouping() const noexcept { return grouping_; }
   [[nodiscard]] std::size_t size() const noexcept { return size_; }
   [[nodiscard]] std::uint32_t WaitingOf(AccountIndex account) const {
--- a/packages/scheduling/src/decide.cc
+++ b/packages/scheduling/src/decide.cc
@@ -21,12 +21,14 @@
   actions_.clear();
   EndQuarantines(now);
   DropExpired(now);
+  TakeTimers(now);
   for (const JobIndex job : std::exchange(ready_, {})) StartNow(job, now);
   for (int pass = 0; pass == 0 || (freed_ && pass < kMaxPasses); ++pass) {
     full_pass_ = std::exchange(freed_, false);
     RunPolicy(now);
     new_heads_.clear();
   }
+  while (!timers_.empty() && IsStale(timers_.top())) timers_.pop();
   allocator_.CheckDecision();
   if (settings_.validation == Validation::kFull) allocator_.CheckFully();
   return std::exchange(actions_, {});
@@ -113,23 +115,25 @@
   return {job, record.account, record.job.gang, record.job.reclaimable};
 }
 
-std::optional<Allocated> Scheduler::State::Allocate(JobIndex job) {
+std::optional<Allocated> Scheduler::State::Allocate(JobIndex job,
+                                                    TimePoint now) {
   const GangRequest request = RequestOf(job);
   const auto gang = static_cast<std::uint32_t>(request.shape.accelerators);
-  const bool guaranteed =
-      accounts_[request.account].has_guarantee &&
-      UnusedGuarantee(allocator_.tree(), allocator_.clusters(),
-                      request.account) >= gang;
+  const bool guaranteed = HasGuaranteeRoom(request.account, request.shape);
   if (guaranteed && allocator_.tree().free() >= gang) {
     auto allocated =
         allocator_.AllocateGuaranteed(request, ReclaimRule::kFreeOnly);
     if (allocated) return allocated;
   }
-  if (guaranteed) {
+  const bool patient = IsPatient(jobs_.at(job)) &&
+                       now < jobs_.at(job).job.arrival + reclaim_patience_;
+  if (guaranteed && !patient) {
     auto allocated =
         allocator_.AllocateGuaranteed(request, ReclaimRule::kMayReclaim);
     if (allocated) return allocated;
   }
+  // As a borrower it could be reclaimed although its guarantee has room.
+  if (guaranteed && patient) return std::nullopt;
   const Misses::Kind kind{request.shape.adjacency, request.reclaimable};
   const auto miss = misses_.smallest.find(kind);
   if (miss == misses_.smallest.end() ||
@@ -156,7 +160,7 @@
 }
 
 bool Scheduler::State::TryStart(JobIndex job, TimePoint now) {
-  const auto allocated = Allocate(job);
+  const auto allocated = Allocate(job, now);
   if (!allocated) return false;
   Started(job, *allocated, now);
   return true;
@@ -207,11 +211,7 @@
   if (const auto deadline = queue_.FirstDeadline()) {
     consider(deadline->arrival);
   }
-  if (reservation_ || queue_.grouping() == Grouping::kOneLine) return next;
-  for (const auto& [key, bucket] : queue_.buckets()) {
-    const TimePoint due = bucket.begin()->arrival + settings_.reservation_wait;
-    if (due > now) consider(due);
-  }
+  if (!timers_.empty()) consider(std::max(now, timers_.top().at));
   return next;
 }
 
--- a/packages/scheduling/src/least_attained.cc
+++ b/packages/scheduling/src/least_attained.cc
@@ -11,9 +11,14 @@
 namespace jasminespar::scheduling {
 namespace {
 
+/// Bounds the work of looking for gangs that give way.
+constexpr Duration kGiveWayInterval = 100ms;
+constexpr std::size_t kMaxGiveWay = 64;
+
 /// Order in which the first jobs of the buckets are tried; smallest first.
 struct Rank {
   Priority priority = Priority::kNormal;
+  bool borrows = false;    ///< Its account's guarantee has no room for it.
   std::int64_t level = 0;  ///< Aged; may be negative.
   double share = 0;
   TimePoint arrival;
@@ -45,9 +50,7 @@
       return true;
     }
   }
-  return accounts_[key.account].has_guarantee &&
-         UnusedGuarantee(allocator_.tree(), allocator_.clusters(),
-                         key.account) >= gang;
+  return HasGuaranteeRoom(key.account, key.shape);
 }
 
 void Scheduler::State::RunLeastAttained(const LeastAttainedService& policy,
@@ -60,8 +63,11 @@
     const std::int64_t aged = policy.ageing > Duration{}
                                   ? (now - record.job.arrival) / policy.ageing
                                   : 0;
+    // Without patience a guaranteed job reclaims at once and needs no lead.
+    const bool borrows = reclaim_patience_ > Duration{} &&
+                         !HasGuaranteeRoom(key.account, key.shape);
     order.push(
-        Entry{Rank{key.priority, key.level - aged,
+        Entry{Rank{key.priority, borrows, key.level - aged,
                    accounts_[key.account].Share(), record.job.arrival, head},
               &key});
   };
@@ -94,6 +100,45 @@
     }
     if (TryStart(entry.rank.job, now)) push_bucket(key);
   }
+  if (policy.give_way_wait > Duration{}) GiveWay(policy, now);
+}
+
+Displaceable Scheduler::State::Giving(const LeastAttainedService& policy,
+                                      std::uint8_t level, TimePoint now) const {
+  Displaceable giving(allocator_.tree().workers().size());
+  jobs_.ForEach([&](JobIndex job, const JobRecord& record) {
+    if (record.state != JobState::kRunning) return;
+    if (now - record.started < policy.give_way_min_run) return;
+    const Gang& gang = allocator_.gang(job);
+    if (gang.hold != HoldClass::kBorrowed) return;
+    const Duration attained = record.attained + (now - record.started);
+    if (LevelOf(record.job, attained) <= level) return;
+    for (const Part& part : gang.parts) giving[part.worker] |= part.mask;
+  });
+  return giving;
+}
+
+void Scheduler::State::GiveWay(const LeastAttainedService& policy,
+                               TimePoint now) {
+  if (now < last_give_way_ + kGiveWayInterval) return;
+  std::vector<QueuePosition> due;
+  for (const auto& [key, bucket] : queue_.buckets()) {
+    if (key.level > 0 || key.priority == Priority::kBatch) continue;
+    for (const QueuePosition& position : bucket) {
+      if (now < position.arrival + policy.give_way_wait) break;
+      due.push_back(position);
+      if (due.size() == kMaxGiveWay) break;
+    }
+  }
+  if (due.empty()) return;
+  last_give_way_ = now;
+  const Displaceable giving = Giving(policy, 0, now);
+  std::sort(due.begin(), due.end());
+  for (const QueuePosition& position : due) {
+    const auto allocated =
+        allocator_.AllocateDisplacing(RequestOf(position.job), giving);
+    if (allocated) Started(position.job, *allocated, now);
+  }
 }
 
 void Scheduler::State::MakeReservation(TimePoint now) {
@@ -134,6 +179,7 @@
           const JobRecord& record = jobs_.at(holder);
           return record.state == JobState::kRunning &&
                  record.started >= reservation_->made &&
+                 record.job.arrival > jobs_.at(job).job.arrival &&
                  record.job.priority >= jobs_.at(job).job.priority;
         });
   }
--- a/packages/scheduling/src/scheduler_state.cc
+++ b/packages/scheduling/src/scheduler_state.cc
@@ -30,6 +30,11 @@
       policy);
 }
 
+Duration PatienceOf(const QueuePolicy& policy) {
+  const auto* attained = std::get_if<LeastAttainedService>(&policy);
+  return attained == nullptr ? Duration{} : attained->reclaim_patience;
+}
+
 }  // namespace
 
 Scheduler::State::State(const PolicySettings& settings,
@@ -40,7 +45,8 @@
       drain_(WindowOf(settings.admission)),
       health_(HealthSettings{settings.quarantine_failures,
                              settings.quarantine_time,
-                             settings.poison_failures}) {}
+                             settings.poison_failures}),
+      reclaim_patience_(PatienceOf(settings.queue)) {}
 
 AccountIndex Scheduler::State::AccountOf(const ClientAccountId& id) {
   const auto next = static_cast<AccountIndex>(accounts_.size());
@@ -49,6 +55,13 @@
   return entry->second;
 }
 
+bool Scheduler::State::HasGuaranteeRoom(AccountIndex account,
+                                        const GangShape& shape) const {
+  return accounts_[account].has_guarantee &&
+         UnusedGuarantee(allocator_.tree(), allocator_.clusters(), account) >=
+             static_cast<std::uint32_t>(shape.accelerators);
+}
+
 void Scheduler::State::NoteFreed() {
   freed_ = true;
   misses_.smallest.clear();
@@ -73,10 +86,48 @@
     JobRecord& record = jobs_.at(job);
     record.state = JobState::kWaiting;
     queue_.Add(job, record);
+    SetTimers(job);
   }
   if (!returned.empty()) NoteFreed();
 }
 
+bool Scheduler::State::IsPatient(const JobRecord& record) const {
+  // A longer job must not run as a borrower while its guarantee has room.
+  return reclaim_patience_ > Duration{} && record.level == 0;
+}
+
+void Scheduler::State::SetTimers(JobIndex job) {
+  const auto* policy = std::get_if<LeastAttainedService>(&settings_.queue);
+  if (policy == nullptr) return;
+  const JobRecord& record = jobs_.at(job);
+  const std::uint64_t entry = queue_.EntryOf(job);
+  const auto set = [&](Duration wait) {
+    timers_.push({record.job.arrival + wait, job, entry});
+  };
+  set(settings_.reservation_wait);
+  if (policy->give_way_wait > Duration{}) set(policy->give_way_wait);
+  if (IsPatient(record) && accounts_[record.account].has_guarantee) {
+    set(reclaim_patience_);
+  }
+}
+
+bool Scheduler::State::IsStale(const Timer& timer) const {
+  const JobRecord& record = jobs_.at(timer.job);
+  return record.state != JobState::kWaiting ||
+         jobs_.Find(record.job.id) != timer.job ||
+         queue_.EntryOf(timer.job) != timer.entry;
+}
+
+void Scheduler::State::TakeTimers(TimePoint now) {
+  while (!timers_.empty()) {
+    const Timer& timer = timers_.top();
+    const bool stale = IsStale(timer);
+    if (!stale && timer.at > now) return;
+    if (!stale) freed_ = true;
+    timers_.pop();
+  }
+}
+
 void Scheduler::State::MarkReady(const std::vector<JobIndex>& ready) {
   for (const JobIndex job : ready) {
     jobs_.at(job).state = JobState::kReady;
@@ -128,6 +179,7 @@
   if (earlier != attained_.end()) attained_.erase(earlier);
   const JobIndex index = jobs_.Add(std::move(record));
   if (queue_.Add(index, jobs_.at(index))) new_heads_.push_back(index);
+  SetTimers(index);
   return std::nullopt;
 }
 
--- a/packages/scheduling/src/scheduler_state.h
+++ b/packages/scheduling/src/scheduler_state.h
@@ -5,8 +5,10 @@
 #define JASMINESPAR_SCHEDULING_SRC_SCHEDULER_STATE_H_
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
+#include <queue>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -39,6 +41,14 @@
   std::vector<Part> parts;
 };
 
+/// Moment at which a waiting job gains a right and must be tried again.
+struct Timer {
+  TimePoint at;
+  JobIndex job = kNoJob;
+  std::uint64_t entry = 0;  ///< Tells the job from a later one in its slot.
+  auto operator<=>(const Timer&) const = default;
+};
+
 class Scheduler::State {
  public:
   State(const PolicySettings& settings,
@@ -90,7 +100,12 @@
   void ServeReservation(TimePoint now);
   void MakeReservation(TimePoint now);
   [[nodiscard]] bool TryStart(JobIndex job, TimePoint now);
-  [[nodiscard]] std::optional<Allocated> Allocate(JobIndex job);
+  [[nodiscard]] std::optional<Allocated> Allocate(JobIndex job, TimePoint now);
+  [[nodiscard]] bool HasGuaranteeRoom(AccountIndex account,
+                                      const GangShape& shape) const;
+  void GiveWay(const LeastAttainedService& policy, TimePoint now);
+  [[nodiscard]] Displaceable Giving(const LeastAttainedService& policy,
+                                    std::uint8_t level, TimePoint now) const;
   [[nodiscard]] std::optional<Allocated> AllocateUrgent(
       const GangRequest& request, Priority priority);
   void Started(JobIndex job, const Allocated& allocated, TimePoint now);
@@ -104,6 +119,10 @@
   void ReturnClaims(const std::vector<JobIndex>& returned);
   void MarkReady(const std::vector<JobIndex>& ready);
   void NoteFreed();
+  void SetTimers(JobIndex job);
+  void TakeTimers(TimePoint now);
+  [[nodiscard]] bool IsStale(const Timer& timer) const;
+  [[nodiscard]] bool IsPatient(const JobRecord& record) const;
   void Charge(JobIndex job);
   void Discharge(JobIndex job);
 
@@ -122,8 +141,11 @@
   std::vector<Action> actions_;
   std::optional<Reservation> reservation_;
   Misses misses_;
+  std::priority_queue<Timer, std::vector<Timer>, std::greater<>> timers_;
   bool freed_ = true;       ///< Accelerators or rights changed since.
   bool full_pass_ = false;  ///< Every bucket is looked at in this pass.
+  Duration reclaim_patience_{};
+  TimePoint last_give_way_;
   std::uint32_t running_ = 0;
 };
 
--- a/tests/scheduling/fixtures.h
+++ b/tests/scheduling/fixtures.h
@@ -21,6 +21,13 @@
   return settings;
 }
 
+/// Reclaims at once, for tests of what is reclaimed.
+inline PolicySettings Immediate() {
+  PolicySettings settings = Checked();
+  settings.queue = LeastAttainedService{.reclaim_patience = Duration{}};
+  return settings;
+}
+
 inline configuration::CellTopology Cell(std::uint32_t racks,
                                         std::uint32_t workers_per_rack,
                                         int accelerators) {
--- a/tests/scheduling/random_cell.cc
+++ b/tests/scheduling/random_cell.cc
@@ -290,6 +290,7 @@
   FillWithBorrowers();
   const std::uint64_t first = next_id_;
   const std::size_t called = EnqueueShapes();
+  now_ += 1s;  // Past the patience of the callers.
   Decide();
   EndReclaimed(true);
   Decide();
