Let long borrowed work give way to short work that waits

Ruled out: taking accelerators from gangs inside their own guarantee, which is never reclaimed. Change: a call of the first level that has waited 500 ms takes the place of borrowed, reclaimable gangs of a worse level that have run 10 s or more, so each of their runs makes progress.

--- a/benchmark/policy.cc
+++ b/benchmark/policy.cc
@@ -39,16 +39,21 @@
   PolicySettings attained;
   attained.admission = AdmitUntilFull{};
   attained.queue = LeastAttainedService{.learn_run_times = false,
+                                        .give_way_wait = Duration{},
                                         .reclaim_patience = Duration{}};
   PolicySettings learned = attained;
-  learned.queue = LeastAttainedService{.reclaim_patience = Duration{}};
+  learned.queue = LeastAttainedService{.give_way_wait = Duration{},
+                                       .reclaim_patience = Duration{}};
   PolicySettings refusing = learned;
   refusing.admission = RefuseUnreachable{};
   PolicySettings patient = refusing;
-  patient.queue = LeastAttainedService{};
-  return {{"fcfs_first_fit", first_fit}, {"backfill_best_fit", backfill},
-          {"least_attained", attained},  {"with_learning", learned},
-          {"with_refusal", refusing},    {"with_patience", patient}};
+  patient.queue = LeastAttainedService{.give_way_wait = Duration{}};
+  PolicySettings giving_way = patient;
+  giving_way.queue = LeastAttainedService{};
+  return {{"fcfs_first_fit", first_fit},  {"backfill_best_fit", backfill},
+          {"least_attained", attained},   {"with_learning", learned},
+          {"with_refusal", refusing},     {"with_patience", patient},
+          {"with_giving_way", giving_way}};
 }
 
 struct Metric {
--- a/packages/scheduling/include/jasminespar/scheduling/policy.h
+++ b/packages/scheduling/include/jasminespar/scheduling/policy.h
@@ -35,7 +35,7 @@
   bool learn_run_times = true;
   /// How long a job of a better level waits before a running, reclaimable job
   /// outside its guarantee gives way to it; zero: never.
-  Duration give_way_wait{};
+  Duration give_way_wait = 500ms;
   /// How long a gang runs at least before it gives way.
   Duration give_way_min_run = 10s;
   /// How long a guaranteed job waits for accelerators to come free before
--- a/tests/scheduling/decisions_test.cc
+++ b/tests/scheduling/decisions_test.cc
@@ -66,7 +66,7 @@
 }
 
 TEST_CASE("a job that waits past its deadline is dropped as not run") {
-  Scheduler scheduler(Checked(), Cell(1, 1, 1));
+  Scheduler scheduler(WithoutGivingWay(), Cell(1, 1, 1));
   REQUIRE_FALSE(scheduler.Enqueue(MakeJob(1, "a", 1), At(0s)));
   Job late = MakeJob(2, "a", 1);
   late.deadline = At(5s);
--- a/tests/scheduling/fixtures.h
+++ b/tests/scheduling/fixtures.h
@@ -28,6 +28,13 @@
   return settings;
 }
 
+/// Long work never gives way to short work, for tests of reservations alone.
+inline PolicySettings WithoutGivingWay() {
+  PolicySettings settings = Checked();
+  settings.queue = LeastAttainedService{.give_way_wait = Duration{}};
+  return settings;
+}
+
 inline configuration::CellTopology Cell(std::uint32_t racks,
                                         std::uint32_t workers_per_rack,
                                         int accelerators) {
