Add settings from one table of keys, numbered events and metrics

Cause: the daemon needs its settings, its log and its metrics before any of its threads can run. Ruled out: INIReader, which drops line numbers and repeated keys; the C interface of the same library is fed line by line instead, so each fault names its line. Defaults written twice (struct and table): a test compares them. Change: packages settings and telemetry, docs/SETTINGS.md and docs/EVENTS.md, both held to their tables by tests. Before: no such packages. Conclusion: the daemon can be built on both.

--- /dev/null
+++ b/packages/settings/include/jasminespar/settings/setting_value.h
@@ -0,0 +1,55 @@
+/// @file
+/// Values of settings in their units, as text and as numbers.
+
+#ifndef JASMINESPAR_SETTINGS_SETTING_VALUE_H_
+#define JASMINESPAR_SETTINGS_SETTING_VALUE_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "jasminespar/core/name_table.h"
+
+namespace jasminespar::settings {
+
+enum class Unit : std::uint8_t {
+  kName,
+  kHost,
+  kPath,
+  kPort,
+  kCount,
+  kBytes,
+  kDuration,
+};
+
+inline constexpr NameTable<Unit, 7> kUnitNames{{
+    {Unit::kName, "name", "1 to 64 letters, digits, '.', '_' or '-'."},
+    {Unit::kHost, "IP number", "IPv4, such as 127.0.0.1."},
+    {Unit::kPath, "path", "A folder that exists."},
+    {Unit::kPort, "port", "TCP and UDP port."},
+    {Unit::kCount, "count", "A whole number."},
+    {Unit::kBytes, "bytes", "A whole number, with B, KiB or MiB."},
+    {Unit::kDuration, "duration", "A whole number with us, ms, s, min or h."},
+}};
+static_assert(IsDense(kUnitNames));
+
+[[nodiscard]] constexpr bool IsNumeric(Unit unit) noexcept {
+  return unit >= Unit::kPort;
+}
+
+/// @param text such as "12", "256KiB" or "200ms".
+/// @return the number in the base unit (bytes, microseconds), or nothing when
+///     the text is not a value of that unit.
+[[nodiscard]] std::optional<std::int64_t> ParseNumber(Unit unit,
+                                                      std::string_view text);
+
+/// @return the shortest text that parses to the same number.
+[[nodiscard]] std::string FormatNumber(Unit unit, std::int64_t number);
+
+/// @return whether the text may stand for a kName, kHost or kPath.
+[[nodiscard]] bool IsValidText(Unit unit, std::string_view text);
+
+}  // namespace jasminespar::settings
+
+#endif  // JASMINESPAR_SETTINGS_SETTING_VALUE_H_
--- /dev/null
+++ b/packages/telemetry/include/jasminespar/telemetry/events.h
@@ -0,0 +1,182 @@
+/// @file
+/// Numbered events of the log. docs/EVENTS.md is their catalogue.
+
+#ifndef JASMINESPAR_TELEMETRY_EVENTS_H_
+#define JASMINESPAR_TELEMETRY_EVENTS_H_
+
+#include <array>
+#include <concepts>
+#include <cstddef>
+#include <cstdint>
+#include <initializer_list>
+#include <string>
+#include <string_view>
+#include <variant>
+
+#include "jasminespar/core/name_table.h"
+
+namespace jasminespar::telemetry {
+
+enum class Severity : std::uint8_t { kVerbose, kInfo, kWarning, kError };
+
+inline constexpr NameTable<Severity, 4> kSeverityNames{{
+    {Severity::kVerbose, "verbose", "Logged only with glog's -v=1."},
+    {Severity::kInfo, "info", "Ordinary life of the site."},
+    {Severity::kWarning, "warning", "Handled, but look if it repeats."},
+    {Severity::kError, "error", "Needs a person."},
+}};
+static_assert(IsDense(kSeverityNames));
+
+enum class Event : std::uint8_t {
+  // The process.
+  kStarted,
+  kStopping,
+  kStopped,
+  kSettingsFault,
+  kInternalError,
+  kRingCongested,
+  // Cells.
+  kCellClaimed,
+  kCellLost,
+  kCellRecovered,
+  kClaimConflict,
+  kRecoveryStarted,
+  kHandoverStarted,
+  kHandoverFinished,
+  // Peers.
+  kPeerSuspected,
+  kPeerBack,
+  kStaleMessage,
+  // Workers.
+  kWorkerLost,
+  kWorkerLeaving,
+  kWorkerQuarantined,
+  // Store and journal.
+  kStoreUnavailable,
+  kStoreBack,
+  kJournalFenced,
+  kJournalUnknownWriteResolved,
+  // Configuration.
+  kNoteAccepted,
+  kNoteConflict,
+  kRevisionApplied,
+  kRevisionLowerIgnored,
+  kGuaranteeInfeasible,
+  // Calls.
+  kCallRefused,
+};
+
+/// One row of the table of events. A number is never used again for another
+/// event: people search old logs for it.
+struct EventRow {
+  Event value;
+  int number;
+  std::string_view name;
+  Severity severity;
+  std::string_view help;
+};
+
+inline constexpr std::array<EventRow, 29> kEvents{{
+    {Event::kStarted, 1001, "started", Severity::kInfo,
+     "The instance has started and serves."},
+    {Event::kStopping, 1002, "stopping", Severity::kInfo,
+     "A shutdown has begun; requests in progress are left to end."},
+    {Event::kStopped, 1003, "stopped", Severity::kInfo,
+     "The shutdown is complete."},
+    {Event::kSettingsFault, 1004, "settings_fault", Severity::kError,
+     "A setting is missing, unknown or out of range; the process ends."},
+    {Event::kInternalError, 1005, "internal_error", Severity::kError,
+     "An exception or a broken invariant; a bug to report."},
+    {Event::kRingCongested, 1006, "ring_congested", Severity::kWarning,
+     "A ring between two threads is full, so new work is refused or not read."},
+    {Event::kCellClaimed, 2001, "cell_claimed", Severity::kInfo,
+     "This instance became the owner of a cell."},
+    {Event::kCellLost, 2002, "cell_lost", Severity::kWarning,
+     "Another instance became the owner of a cell held here."},
+    {Event::kCellRecovered, 2003, "cell_recovered", Severity::kInfo,
+     "A claimed cell has read its state and decides."},
+    {Event::kClaimConflict, 2004, "claim_conflict", Severity::kInfo,
+     "Another instance was first to claim the cell."},
+    {Event::kRecoveryStarted, 2005, "recovery_started", Severity::kInfo,
+     "The new owner reads its journal and its workers' reports."},
+    {Event::kHandoverStarted, 2006, "handover_started", Severity::kInfo,
+     "The owner begins to give a cell to another instance."},
+    {Event::kHandoverFinished, 2007, "handover_finished", Severity::kInfo,
+     "The new owner has the cell."},
+    {Event::kPeerSuspected, 3001, "peer_suspected", Severity::kWarning,
+     "No heartbeat came from a peer for suspect_after."},
+    {Event::kPeerBack, 3002, "peer_back", Severity::kInfo,
+     "A suspected peer is heard again."},
+    {Event::kStaleMessage, 3003, "stale_message", Severity::kVerbose,
+     "A late, crossed or duplicate message was dropped."},
+    {Event::kWorkerLost, 4001, "worker_lost", Severity::kWarning,
+     "A worker has been silent for its lease."},
+    {Event::kWorkerLeaving, 4002, "worker_leaving", Severity::kInfo,
+     "A worker is leaving and gets nothing new."},
+    {Event::kWorkerQuarantined, 4003, "worker_quarantined", Severity::kWarning,
+     "A worker failed distinct jobs in a row and gets nothing new for a time."},
+    {Event::kStoreUnavailable, 5001, "store_unavailable", Severity::kError,
+     "The platform's table or object store does not answer."},
+    {Event::kStoreBack, 5002, "store_back", Severity::kInfo,
+     "The platform's store answers again."},
+    {Event::kJournalFenced, 5003, "journal_fenced", Severity::kWarning,
+     "A journal write was refused because the cell has a newer owner."},
+    {Event::kJournalUnknownWriteResolved, 5004,
+     "journal_unknown_write_resolved", Severity::kWarning,
+     "A write whose answer was lost was read back."},
+    {Event::kNoteAccepted, 6001, "note_accepted", Severity::kInfo,
+     "A release note became the next revision."},
+    {Event::kNoteConflict, 6002, "note_conflict", Severity::kInfo,
+     "A release note lost to another one on the same base revision."},
+    {Event::kRevisionApplied, 6003, "revision_applied", Severity::kInfo,
+     "A higher revision is in force on this instance."},
+    {Event::kRevisionLowerIgnored, 6004, "revision_lower_ignored",
+     Severity::kWarning, "A revision that is not higher was not applied."},
+    {Event::kGuaranteeInfeasible, 6005, "guarantee_infeasible",
+     Severity::kError,
+     "The workers that are left cannot hold every guarantee."},
+    {Event::kCallRefused, 7001, "call_refused", Severity::kVerbose,
+     "A call ended in a refusal."},
+}};
+static_assert(IsDense(kEvents));
+static_assert(static_cast<std::size_t>(Event::kCallRefused) + 1 ==
+              kEvents.size());
+
+/// One key=value of an event. Refers to the text it was made from.
+class Field {
+ public:
+  Field(std::string_view key, std::string_view value)
+      : key_(key), value_(value) {}
+  Field(std::string_view key, const char* value)
+      : Field(key, std::string_view(value)) {}
+  Field(std::string_view key, const std::string& value)
+      : Field(key, std::string_view(value)) {}
+  Field(std::string_view key, double value) : key_(key), value_(value) {}
+  Field(std::string_view key, bool value) : key_(key), value_(value) {}
+  template <std::integral Number>
+  Field(std::string_view key, Number value)
+      : key_(key), value_(static_cast<std::int64_t>(value)) {}
+
+  /// Appends "key=value"; quotes and escapes a text where needed.
+  void AppendTo(std::string& line) const;
+
+ private:
+  std::string_view key_;
+  std::variant<std::string_view, std::int64_t, double, bool> value_;
+};
+
+/// @return "event=2001 name=cell_claimed cell=dc-a/0".
+[[nodiscard]] std::string FormatEvent(Event event,
+                                      std::initializer_list<Field> fields);
+
+/// Writes one line through glog at the event's severity. Thread-safe.
+void LogEvent(Event event, std::initializer_list<Field> fields);
+
+/// Sets up glog; call once, before the first event.
+/// @param program name in the log files' names.
+/// @param folder of the log files; empty: standard error.
+void StartLogging(const std::string& program, const std::string& folder);
+
+}  // namespace jasminespar::telemetry
+
+#endif  // JASMINESPAR_TELEMETRY_EVENTS_H_
--- /dev/null
+++ b/tests/settings/settings_test.cc
@@ -0,0 +1,131 @@
+#include <catch2/catch.hpp>
+#include <fstream>
+#include <iterator>
+#include <set>
+
+#include "jasminespar/settings/daemon_settings.h"
+#include "jasminespar/settings/settings_table.h"
+
+namespace jasminespar::settings {
+namespace {
+
+const std::string kMinimal =
+    "[instance]\nid = a1\ndata_centre = dc-a\n"
+    "[callers]\nhost = 127.0.0.1\nport = 8001\n"
+    "[peers]\nhost = 127.0.0.2\nport = 9001\n"
+    "[platform]\nhost = 127.0.0.3\nport = 7001\n";
+
+DaemonSettings ParseValid(const std::string& text) {
+  const auto result = ParseDaemonSettings(text, "test.ini");
+  REQUIRE(std::holds_alternative<DaemonSettings>(result));
+  return std::get<DaemonSettings>(result);
+}
+
+std::vector<SettingFault> FaultsOf(const std::string& text) {
+  const auto result = ParseDaemonSettings(text, "test.ini");
+  REQUIRE(std::holds_alternative<std::vector<SettingFault>>(result));
+  return std::get<std::vector<SettingFault>>(result);
+}
+
+TEST_CASE("required keys alone give the defaults of the table") {
+  const DaemonSettings settings = ParseValid(kMinimal);
+  CHECK(settings.instance.value == "a1");
+  CHECK(settings.caller_address.port == 8001);
+  CHECK(settings.advertised_peer_address == settings.peer_address);
+  CHECK(settings.heartbeat_interval == 200ms);
+  CHECK(settings.journal_max_batch_bytes == 256U << 10);
+  CHECK(settings.shutdown_grace == 30s);
+}
+
+TEST_CASE("defaults of the table are those of the cell's own settings") {
+  const cell::CellSettings parsed = ParseValid(kMinimal).cell;
+  const cell::CellSettings own;
+  CHECK(parsed.hold == own.hold);
+  CHECK(parsed.recovery_timeout == own.recovery_timeout);
+  CHECK(parsed.worker_lease == own.worker_lease);
+  CHECK(parsed.max_attempts == own.max_attempts);
+  CHECK(parsed.max_live_calls == own.max_live_calls);
+  CHECK(parsed.policy.max_waiting_jobs == own.policy.max_waiting_jobs);
+  CHECK(parsed.policy.reservation_wait == own.policy.reservation_wait);
+  CHECK(parsed.policy.quarantine_failures == own.policy.quarantine_failures);
+  CHECK(parsed.policy.quarantine_time == own.policy.quarantine_time);
+  CHECK(parsed.policy.poison_failures == own.policy.poison_failures);
+}
+
+TEST_CASE("every default of the table parses, is in range and prints alike") {
+  std::set<std::pair<std::string_view, std::string_view>> keys;
+  for (const SettingRow& row : SettingRows()) {
+    CAPTURE(row.key);
+    CHECK(keys.insert({row.section, row.key}).second);
+    CHECK_FALSE(row.help.empty());
+    CHECK((row.presence == Presence::kDefaulted) == !row.default_text.empty());
+    if (!IsNumeric(row.unit) || row.default_text.empty()) continue;
+    const auto number = ParseNumber(row.unit, row.default_text);
+    REQUIRE(number.has_value());
+    CHECK(*number >= row.range.min);
+    CHECK(*number <= row.range.max);
+    CHECK(ParseNumber(row.unit, FormatNumber(row.unit, *number)) == number);
+  }
+}
+
+TEST_CASE("printed settings parse to the same settings") {
+  const std::string text = kMinimal +
+                           "advertised_host = 10.0.0.1\n[cells]\n"
+                           "hold = 2500ms\n[process]\nlog_folder = logs\n";
+  // "advertised_host" lands in [platform], where it is unknown.
+  CHECK(FaultsOf(text).at(0).message == "unknown key");
+  const std::string valid = kMinimal +
+                            "[peers]\nadvertised_port = 99\n[cells]\n"
+                            "hold = 2500ms\n[process]\nlog_folder = logs\n";
+  const DaemonSettings settings = ParseValid(valid);
+  CHECK(settings.advertised_peer_address.port == 99);
+  const std::string printed = PrintDaemonSettings(settings);
+  CHECK(PrintDaemonSettings(ParseValid(printed)) == printed);
+  CHECK(printed.find("hold = 2500ms\n") != std::string::npos);
+}
+
+TEST_CASE("all faults are reported at once with file, line, key and range") {
+  const std::vector<SettingFault> faults = FaultsOf(
+      "[instance]\nid = a 1\n[callers]\nhost = localhost\nport = 70000\n"
+      "nonsense\n[peers]\nheartbeat_interval = 5\nheartbeat_interval = 6\n");
+  std::set<std::string> texts;
+  for (const SettingFault& fault : faults) texts.insert(ToString(fault));
+  CHECK(texts.count("test.ini:5: [callers] port: out of range: 70000; "
+                    "allowed: 1 to 65535") == 1);
+  CHECK(texts.count("test.ini:6: neither a section nor 'key = value'") == 1);
+  CHECK(texts.count("test.ini:8: [peers] heartbeat_interval: not a number of "
+                    "this unit: 5; allowed: 10ms to 10s") == 1);
+  CHECK(texts.count("test.ini:9: [peers] heartbeat_interval: already set in "
+                    "line 8; allowed: 10ms to 10s") == 1);
+  CHECK(texts.count("test.ini: [platform] port: missing; allowed: 1 to "
+                    "65535") == 1);
+  // Also: id, host, data_centre, two of [peers] and the platform's host.
+  CHECK(faults.size() == 11);
+}
+
+TEST_CASE("settings that contradict each other are faults") {
+  const auto faults = FaultsOf(kMinimal + "[cells]\nworker_lease = 1s\n");
+  REQUIRE(faults.size() == 2);
+  CHECK(faults[0].key == "hold");
+  CHECK(faults[1].key == "report_wait");
+}
+
+TEST_CASE("indented, overlong and damaged lines are entries or faults") {
+  CHECK(ParseValid("  [cells]\n   racks_per_cell = 7\n" + kMinimal)
+            .racks_per_cell == 7);
+  CHECK(
+      FaultsOf("; c\n" + std::string(5000, 'x') + "\n" + kMinimal).at(0).line ==
+      2);
+  CHECK(FaultsOf(std::string("[in\0st]\n", 8) + kMinimal).at(0).line == 1);
+}
+
+TEST_CASE("the settings page is the table's") {
+  // After a change of the table, copy this file over the page.
+  std::ofstream("SETTINGS.md") << SettingsPage();
+  std::ifstream file(JASMINESPAR_DOCS "/SETTINGS.md");
+  const std::string page{std::istreambuf_iterator<char>(file), {}};
+  CHECK(page == SettingsPage());
+}
+
+}  // namespace
+}  // namespace jasminespar::settings
--- /dev/null
+++ b/tests/telemetry/telemetry_test.cc
@@ -0,0 +1,104 @@
+#include <catch2/catch.hpp>
+#include <fstream>
+#include <iterator>
+#include <regex>
+#include <set>
+#include <thread>
+
+#include "jasminespar/telemetry/events.h"
+#include "jasminespar/telemetry/metrics.h"
+
+namespace jasminespar::telemetry {
+namespace {
+
+bool Holds(const std::string& text, const std::string& line) {
+  return text.find(line + "\n") != std::string::npos;
+}
+
+TEST_CASE("every event has its own number and name and a message") {
+  std::set<int> numbers;
+  std::set<std::string_view> names;
+  for (const EventRow& row : kEvents) {
+    CHECK(numbers.insert(row.number).second);
+    CHECK(names.insert(row.name).second);
+    CHECK_FALSE(row.help.empty());
+  }
+}
+
+TEST_CASE("an event is one line of key=value") {
+  CHECK(FormatEvent(Event::kCellClaimed, {{"cell", "dc-a/0"},
+                                          {"epoch", std::uint64_t{7}},
+                                          {"provisional", false}}) ==
+        "event=2001 name=cell_claimed cell=dc-a/0 epoch=7 provisional=false");
+}
+
+TEST_CASE("a text from outside cannot forge a second event") {
+  CHECK(FormatEvent(Event::kNoteConflict,
+                    {{"title", std::string("a\nevent=1001 \"")}}) ==
+        "event=6002 name=note_conflict title=\"a\\x0aevent=1001 \\\"\"");
+}
+
+TEST_CASE("every reason is counted from zero, for refusals and for retries") {
+  const Metrics metrics;
+  const std::string text = metrics.Render();
+  for (const ReasonRow& row : kReasons) {
+    const std::string label = "{reason=\"" + std::string(row.name) + "\"} 0";
+    CHECK(Holds(text, "jasminespar_refusals_total" + label));
+    CHECK(Holds(text, "jasminespar_retries_total" + label));
+  }
+}
+
+TEST_CASE("each metric is exported under its own name") {
+  Metrics metrics;
+  metrics.Count(Counter::kJournalBytes, 512);
+  metrics.CountRefusal(Reason::kQueueFull);
+  metrics.CountRetry(Reason::kWorkerLost);
+  metrics.Set(Gauge::kConfigurationRevision, 41);
+  metrics.Observe(Timing::kTakeover, 250ms);
+  const std::string text = metrics.Render();
+  CHECK(Holds(text, "jasminespar_journal_bytes_total 512"));
+  CHECK(Holds(text, "jasminespar_refusals_total{reason=\"queue_full\"} 1"));
+  CHECK(Holds(text, "jasminespar_retries_total{reason=\"worker_lost\"} 1"));
+  CHECK(Holds(text, "jasminespar_configuration_revision 41"));
+  CHECK(Holds(text, "jasminespar_takeover_seconds_sum 0.25"));
+  for (const auto& row : kCounterNames) {
+    CHECK(text.find("jasminespar_" + std::string(row.name) + "_total ") !=
+          std::string::npos);
+  }
+}
+
+TEST_CASE("counts from several threads are all kept") {
+  Metrics metrics;
+  constexpr int kThreads = 4;
+  constexpr int kCounts = 10'000;
+  std::vector<std::thread> threads;
+  for (int i = 0; i < kThreads; ++i) {
+    threads.emplace_back([&metrics] {
+      for (int n = 0; n < kCounts; ++n) metrics.Count(Counter::kCallsAnswered);
+    });
+  }
+  for (std::thread& thread : threads) thread.join();
+  CHECK(Holds(metrics.Render(), "jasminespar_calls_answered_total 40000"));
+}
+
+TEST_CASE("the catalogue holds exactly the events of the table") {
+  std::ifstream file(JASMINESPAR_DOCS "/EVENTS.md");
+  const std::string page{std::istreambuf_iterator<char>(file), {}};
+  std::set<std::string> expected;
+  for (const EventRow& row : kEvents) {
+    expected.insert(std::to_string(row.number) + " " + std::string(row.name) +
+                    " " +
+                    std::string(RowOf(kSeverityNames, row.severity).name));
+  }
+  std::set<std::string> found;
+  const std::regex line(R"(\n\| (\d+) \| `([a-z_]+)` \| (\w+) \|)");
+  for (std::sregex_iterator match(page.begin(), page.end(), line), end;
+       match != end; ++match) {
+    found.insert((*match)[1].str() + " " + (*match)[2].str() + " " +
+                 (*match)[3].str());
+  }
+  CHECK(found == expected);
+}
+
+}  // namespace
+}  // namespace jasminespar::telemetry
