Add the stand-in platform: table, object store and instance list

Cause: integration tests and the demo need the platform of docs/PLATFORM.md. Ruled out: one file with HTTP and rows together; the rows stay testable alone. Change: packages/standins with Table, RateBudget, PlatformService and the program standin_platform, with faults (down, slow, lose_answers, hang). Before: no stand-in. Conclusion: usable by packages/platform.

--- /dev/null
+++ b/packages/standins/include/jasminespar/standins/platform_service.h
@@ -0,0 +1,84 @@
+/// @file
+/// HTTP service of the stand-in platform: table, object store and list.
+
+#ifndef JASMINESPAR_STANDINS_PLATFORM_SERVICE_H_
+#define JASMINESPAR_STANDINS_PLATFORM_SERVICE_H_
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <random>
+#include <string>
+
+#include "jasminespar/core/time.h"
+#include "jasminespar/http/message.h"
+#include "jasminespar/http/server.h"
+#include "jasminespar/standins/rate_budget.h"
+#include "jasminespar/standins/store_fault.h"
+#include "jasminespar/standins/table.h"
+
+namespace jasminespar::standins {
+
+struct PlatformSettings {
+  std::string host = "127.0.0.1";
+  std::uint16_t port = 0;
+  double writes_per_second = 300;  ///< Rows.
+  double reads_per_second = 2000;  ///< Requests.
+};
+
+/// Use on one thread.
+class PlatformService {
+ public:
+  PlatformService(boost::asio::io_context& context,
+                  const PlatformSettings& settings);
+
+  void Start() { server_.Start(); }
+  [[nodiscard]] std::uint16_t port() const { return server_.port(); }
+
+ private:
+  struct Counters {
+    std::uint64_t writes = 0;
+    std::uint64_t reads = 0;
+    std::uint64_t refused = 0;
+    std::uint64_t conflicts = 0;
+    std::uint64_t lost_answers = 0;
+    std::map<std::string, std::uint64_t> writes_by_prefix;
+  };
+  struct ListVersion {
+    TimePoint since;
+    nlohmann::json machines;
+  };
+
+  boost::asio::awaitable<http::Response> Handle(http::Request request);
+  boost::asio::awaitable<void> Delay(Duration delay);
+  http::Response Perform(const http::Request& request, TimePoint now);
+  http::Response Transact(const http::Request& request, TimePoint now);
+  http::Response Read(const http::Request& request, TimePoint now);
+  http::Response Scan(const http::Request& request, TimePoint now);
+  http::Response AccessObject(const http::Request& request, TimePoint now);
+  http::Response ListInstances(TimePoint now);
+  http::Response Administer(const http::Request& request, TimePoint now);
+  http::Response Statistics() const;
+  bool TakeRead(TimePoint now);
+  bool TakeWrites(double rows, TimePoint now);
+
+  boost::asio::io_context& context_;
+  Table table_;
+  std::map<std::string, std::string> objects_;
+  std::deque<ListVersion> list_;  // Oldest first; the last is the truth.
+  Duration list_lag_{};
+  RateBudget writes_;
+  RateBudget reads_;
+  StoreFault fault_ = StoreOk{};
+  std::mt19937_64 random_{1};
+  Counters counters_;
+  http::Server server_;
+};
+
+}  // namespace jasminespar::standins
+
+#endif  // JASMINESPAR_STANDINS_PLATFORM_SERVICE_H_
