--- /dev/null
+++ b/packages/daemon/include/jasminespar/daemon/cell_decider.h
@@ -0,0 +1,78 @@
+/// @file
+/// Duty cell_decider: owns the state of every cell this instance holds.
+
+#ifndef JASMINESPAR_DAEMON_CELL_DECIDER_H_
+#define JASMINESPAR_DAEMON_CELL_DECIDER_H_
+
+#include <boost/asio/steady_timer.hpp>
+#include <map>
+#include <set>
+#include <vector>
+
+#include "jasminespar/cell/cell.h"
+#include "jasminespar/daemon/duty_messages.h"
+#include "jasminespar/runtime/channel.h"
+#include "jasminespar/runtime/duty.h"
+#include "jasminespar/telemetry/metrics.h"
+
+namespace jasminespar::daemon {
+
+/// Where the decider's effects go.
+struct DeciderOutputs {
+  runtime::Channel<ToFront>& front;
+  runtime::Channel<ToPeer>& peer;
+  runtime::Channel<ToEndpoint>& endpoint;
+  runtime::Channel<ToPlatform>& platform;
+};
+
+/// Runs on its duty's thread only.
+class CellDecider {
+ public:
+  CellDecider(runtime::Duty& duty, const cell::CellSettings& settings,
+              DeciderOutputs outputs, telemetry::Metrics& metrics);
+
+  /// Starts the timers; called on the duty's thread.
+  void Start();
+
+  void Handle(ToDecider message);
+
+ private:
+  struct OwnedCell {
+    cell::Cell cell;
+    std::set<cell::ReplyToken> open_tokens;  // Owed exactly one reply each.
+    bool handing_over = false;
+    bool released = false;
+  };
+
+  void On(CellInput message);
+  void On(CellClaimed message);
+  void On(const CellLost& message);
+  void On(const HandoverCell& message);
+  void On(const SnapshotWanted& message);
+  void On(const CellsChanged& message);
+  void On(const ConfigurationChanged& message);
+
+  void Feed(const CellId& id, OwnedCell& owned, cell::Input input);
+  void Perform(const CellId& id, OwnedCell& owned, cell::Effect effect);
+  void Reply(cell::ReplyToken token, cell::CallReply reply);
+  void FinishHandover(const CellId& id, OwnedCell& owned);
+  void RefuseUnowned(const CellInput& message);
+  void ArmTimer();
+  void OnTimer();
+  void ReportCells();
+  [[nodiscard]] configuration::CellTopology TopologyOf(const CellId& id) const;
+  [[nodiscard]] configuration::CellShare ShareOf(const CellId& id) const;
+
+  cell::CellSettings settings_;
+  DeciderOutputs outputs_;
+  telemetry::Metrics& metrics_;
+  boost::asio::steady_timer timer_;
+  boost::asio::steady_timer report_timer_;
+  std::map<CellId, OwnedCell> cells_;
+  Cells topology_;
+  ConfigurationPtr configuration_;
+};
+
+}  // namespace jasminespar::daemon
+
+#endif  // JASMINESPAR_DAEMON_CELL_DECIDER_H_
--- /dev/null
+++ b/packages/daemon/include/jasminespar/daemon/cell_journal.h
@@ -0,0 +1,151 @@
+/// @file
+/// Writes the journal of one owned cell to the platform's table, many records
+/// to a row, and its snapshots to the object store.
+
+#ifndef JASMINESPAR_DAEMON_CELL_JOURNAL_H_
+#define JASMINESPAR_DAEMON_CELL_JOURNAL_H_
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "jasminespar/cell/cell.h"
+#include "jasminespar/cell/messages.h"
+#include "jasminespar/core/ids.h"
+#include "jasminespar/core/time.h"
+#include "jasminespar/platform/table_client.h"
+#include "jasminespar/protocol/journal_batch.h"
+#include "jasminespar/telemetry/metrics.h"
+
+namespace jasminespar::daemon {
+
+/// The ownership row that fences every write of the journal.
+struct JournalFence {
+  CellId cell;
+  Epoch epoch;
+  std::string row_key;
+  std::uint64_t row_version = 0;
+};
+
+/// Callbacks of a journal; on its io_context.
+struct JournalHandlers {
+  std::function<void(cell::RecoveredState)> on_recovered;
+  std::function<void(Sequence through)> on_durable;
+  std::function<void()> on_snapshot_wanted;
+  std::function<void()> on_fenced;    ///< A higher epoch exists; it is closed.
+  std::function<void()> on_finished;  ///< After `Finish`: all is durable.
+  std::function<void(bool available)> on_store;
+};
+
+struct JournalSettings {
+  std::size_t max_batch_bytes = 256U << 10;
+  /// Unwritten bytes above which records are dropped in favour of a snapshot.
+  std::size_t max_unwritten_bytes = 32U << 20;
+};
+
+/// Held by shared_ptr; its coroutine keeps it alive until it is closed.
+///
+/// Each write is conditional on the ownership row and on the version of the
+/// slot it replaces, so that a write whose answer was lost can be sent again:
+/// it takes effect once, or the slot shows that it already did.
+class CellJournal : public std::enable_shared_from_this<CellJournal> {
+ public:
+  CellJournal(boost::asio::io_context& context, platform::TableClient& table,
+              JournalFence fence, const JournalSettings& settings,
+              JournalHandlers handlers, telemetry::Metrics& metrics);
+
+  /// Reads snapshot and batches, then writes what is appended.
+  void Start();
+
+  void Append(cell::AppendJournal append);
+
+  /// Takes a snapshot that covers everything appended so far.
+  void TakeSnapshot(std::vector<cell::JournalRecord> records);
+
+  /// Writes what is left, then calls `on_finished`.
+  void Finish();
+
+  /// Writes nothing more.
+  void Close();
+
+  /// Least time between two writes: this owner's share of the write budget.
+  void SetWriteInterval(Duration interval) { write_interval_ = interval; }
+
+ private:
+  using Self = std::shared_ptr<CellJournal>;
+
+  struct Unwritten {
+    Sequence sequence;
+    cell::JournalRecord record;
+    std::size_t bytes = 0;
+    bool urgent = false;
+  };
+  struct Snapshot {
+    std::string bytes;
+    Sequence through;  ///< Last record covered.
+  };
+
+  static boost::asio::awaitable<void> Run(Self self);
+  boost::asio::awaitable<bool> Recover();
+  boost::asio::awaitable<cell::RecoveredState> ReadState();
+  boost::asio::awaitable<void> WaitForWork();
+  boost::asio::awaitable<void> WaitForBudget();
+  boost::asio::awaitable<void> WriteBatch();
+  boost::asio::awaitable<void> PublishSnapshot();
+  boost::asio::awaitable<bool> Commit(platform::Transaction transaction,
+                                      std::uint64_t& written_version);
+  boost::asio::awaitable<bool> IsOwnWrite(platform::RowWrite write,
+                                          std::uint64_t& version);
+  boost::asio::awaitable<void> Backoff(Reason reason);
+  void StoreAnswered();
+  [[nodiscard]] protocol::JournalBatch NextBatch(Sequence& through);
+  [[nodiscard]] bool SlotsExhausted() const;
+  void WantSnapshot();
+  void DropUnwritten();
+  void Fence();
+  [[nodiscard]] std::string SlotKey(std::uint64_t slot) const;
+
+  boost::asio::io_context& context_;
+  platform::TableClient& table_;
+  JournalFence fence_;
+  JournalSettings settings_;
+  JournalHandlers handlers_;
+  telemetry::Metrics& metrics_;
+  boost::asio::steady_timer signal_;
+
+  std::deque<Unwritten> unwritten_;
+  std::size_t unwritten_bytes_ = 0;
+  std::size_t urgent_ = 0;  // Of unwritten_.
+  Sequence appended_;       // Last one taken in.
+  std::optional<Snapshot> snapshot_;
+  bool snapshot_wanted_ = false;
+  bool needs_snapshot_ = false;  // Records were dropped; only it is whole.
+
+  std::map<std::uint64_t, std::uint64_t> slot_versions_;
+  std::uint64_t snapshot_version_ = platform::kAbsentVersion;
+  std::uint64_t snapshot_through_ = 0;  // Last batch that it covers.
+  std::string snapshot_key_;
+  std::uint64_t last_batch_ = 0;
+
+  Duration write_interval_{};
+  TimePoint last_write_;
+  Duration backoff_{};
+  bool store_available_ = true;
+  bool finishing_ = false;
+  bool closed_ = false;
+  std::mt19937_64 random_;
+};
+
+}  // namespace jasminespar::daemon
+
+#endif  // JASMINESPAR_DAEMON_CELL_JOURNAL_H_
--- /dev/null
+++ b/packages/daemon/include/jasminespar/daemon/configuration_store.h
@@ -0,0 +1,113 @@
+/// @file
+/// Keeps the configuration in force: accepts release notes through the
+/// platform's table and follows the notes that others had accepted.
+///
+/// Rows: "configuration/head" names the revision and the last snapshot;
+/// "note/NNNN" is a ring of the newest notes; object "configuration/R" is a
+/// whole configuration. A note is accepted by one transaction conditional on
+/// the head, so that of racing notes one wins.
+
+#ifndef JASMINESPAR_DAEMON_CONFIGURATION_STORE_H_
+#define JASMINESPAR_DAEMON_CONFIGURATION_STORE_H_
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "jasminespar/configuration/configuration.h"
+#include "jasminespar/configuration/note_commit.h"
+#include "jasminespar/configuration/release_note.h"
+#include "jasminespar/configuration/revision_keeper.h"
+#include "jasminespar/daemon/duty_messages.h"
+#include "jasminespar/platform/table_client.h"
+#include "jasminespar/telemetry/metrics.h"
+
+namespace jasminespar::daemon {
+
+/// Not thread-safe: platform_link owns it.
+class ConfigurationStore {
+ public:
+  using OnChanged = std::function<void(ConfigurationPtr)>;
+  using OnAnswer = std::function<void(NoteAnswered)>;
+
+  ConfigurationStore(boost::asio::io_context& context,
+                     platform::TableClient& table, Duration poll_interval,
+                     OnChanged on_changed, telemetry::Metrics& metrics);
+
+  /// Starts to follow the table.
+  void Start();
+
+  /// Topology against which new notes are compiled.
+  void UseCells(Cells cells) { cells_ = std::move(cells); }
+
+  /// Compiles and, unless `check_only`, commits a note; one at a time.
+  void Submit(std::string text, bool check_only, OnAnswer on_answer);
+
+  /// @return the notes above `after` as the operators' interface lists them.
+  [[nodiscard]] NoteAnswered ListAfter(Revision after) const;
+
+  /// @return what a peer that has `after` needs to reach this revision.
+  [[nodiscard]] protocol::Notes NotesAfter(Revision after) const;
+
+  /// Applies what a peer sent; anything that is not newer is ignored.
+  void Receive(const protocol::Notes& notes);
+
+ private:
+  struct Head {
+    std::uint64_t revision = 0;
+    std::uint64_t snapshot = 0;
+    std::uint64_t version = platform::kAbsentVersion;
+  };
+  struct Submission {
+    std::string text;
+    bool check_only = false;
+    OnAnswer on_answer;
+  };
+
+  using Notes = std::vector<configuration::ReleaseNote>;
+
+  boost::asio::awaitable<void> Poll();
+  boost::asio::awaitable<Head> FetchHead();
+  boost::asio::awaitable<void> CatchUp(Head head);
+  boost::asio::awaitable<void> LoadSnapshot(std::uint64_t revision);
+  boost::asio::awaitable<Notes> FetchNotes(std::uint64_t first,
+                                           std::uint64_t last);
+  boost::asio::awaitable<void> ServeSubmissions();
+  boost::asio::awaitable<NoteAnswered> Decide(std::string text,
+                                              bool check_only);
+  boost::asio::awaitable<NoteAnswered> Commit(configuration::ReleaseNote note,
+                                              configuration::Configuration next,
+                                              Head head);
+  boost::asio::awaitable<configuration::WriteResult> Write(
+      configuration::ReleaseNote note, configuration::Configuration next,
+      Head head);
+  boost::asio::awaitable<std::optional<configuration::NoteRead>> ReadBack(
+      Revision revision);
+  boost::asio::awaitable<NoteAnswered> AnswerConflict(
+      configuration::ReleaseNote note);
+
+  void TakeNote(const configuration::ReleaseNote& note);
+  void TakeWhole(configuration::Configuration whole);
+  void Publish(const configuration::RevisionOutcome& outcome);
+
+  boost::asio::io_context& context_;
+  platform::TableClient& table_;
+  Duration poll_interval_;
+  OnChanged on_changed_;
+  telemetry::Metrics& metrics_;
+  Cells cells_;
+  configuration::RevisionKeeper keeper_;
+  std::map<std::uint64_t, std::string> recent_;  // Note texts by revision.
+  std::deque<Submission> submissions_;
+  bool serving_ = false;
+};
+
+}  // namespace jasminespar::daemon
+
+#endif  // JASMINESPAR_DAEMON_CONFIGURATION_STORE_H_
--- /dev/null
+++ b/packages/daemon/include/jasminespar/daemon/duty_messages.h
@@ -0,0 +1,263 @@
+/// @file
+/// Messages on the rings between duties. One variant for each consumer.
+///
+/// Ring graph (producer -> consumer):
+///
+///     caller_front  -> cell_decider, peer_link, platform_link, telemetry
+///     cell_decider  -> caller_front, peer_link, endpoint_link, platform_link
+///     endpoint_link -> cell_decider
+///     peer_link     -> caller_front, cell_decider, platform_link
+///     platform_link -> caller_front, cell_decider, peer_link
+///     telemetry     -> caller_front
+
+#ifndef JASMINESPAR_DAEMON_DUTY_MESSAGES_H_
+#define JASMINESPAR_DAEMON_DUTY_MESSAGES_H_
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "jasminespar/cell/cell.h"
+#include "jasminespar/cell/messages.h"
+#include "jasminespar/configuration/configuration.h"
+#include "jasminespar/configuration/topology.h"
+#include "jasminespar/core/call.h"
+#include "jasminespar/core/ids.h"
+#include "jasminespar/membership/heartbeat.h"
+#include "jasminespar/membership/member_table.h"
+#include "jasminespar/membership/ownership.h"
+#include "jasminespar/protocol/peer_message.h"
+
+namespace jasminespar::daemon {
+
+/// All cells of the site by id, shared read-only between duties.
+using Cells = std::shared_ptr<const std::vector<configuration::CellTopology>>;
+using ConfigurationPtr = std::shared_ptr<const configuration::Configuration>;
+using ViewPtr = std::shared_ptr<const membership::View>;
+
+struct CellsChanged {
+  Cells cells;
+};
+struct ConfigurationChanged {
+  ConfigurationPtr configuration;
+};
+
+// To cell_decider.
+
+/// An input for an owned cell. With `epoch` it is meant for that ownership
+/// only and is dropped for any other.
+struct CellInput {
+  CellId cell;
+  std::optional<Epoch> epoch;
+  cell::Input input;
+};
+/// This instance won the cell and read its state.
+struct CellClaimed {
+  CellId cell;
+  Epoch epoch;
+  cell::RecoveredState recovered;
+};
+/// The cell is no longer owned: replaced by a higher epoch, or given back.
+struct CellLost {
+  CellId cell;
+  Epoch epoch;
+  Reason reason = Reason::kStaleEpoch;
+};
+/// Hand the cell over to whoever claims it next.
+struct HandoverCell {
+  CellId cell;
+};
+/// The journal of the cell wants a snapshot.
+struct SnapshotWanted {
+  CellId cell;
+  Epoch epoch;
+};
+using ToDecider =
+    std::variant<CellInput, CellClaimed, CellLost, HandoverCell, SnapshotWanted,
+                 CellsChanged, ConfigurationChanged>;
+
+// To caller_front.
+
+struct CallReplied {
+  std::uint64_t number = 0;
+  cell::CallReply reply;
+};
+struct ViewChanged {
+  ViewPtr view;
+};
+/// What became of a release note.
+struct NoteAnswered {
+  std::uint64_t number = 0;
+  int http_status = 200;
+  std::string json;
+  std::optional<Reason> refused;  ///< For the counters.
+};
+struct MetricsRendered {
+  std::uint64_t number = 0;
+  std::string text;
+};
+/// Readiness turns false; the listener closes after the balancer's delay.
+struct DrainFront {};
+using ToFront =
+    std::variant<CallReplied, ViewChanged, NoteAnswered, MetricsRendered,
+                 CellsChanged, ConfigurationChanged, DrainFront>;
+
+// To endpoint_link.
+
+using TaskEffect = std::variant<cell::OrderTask, cell::ReleaseTask,
+                                cell::StopTask, cell::ForgetTask>;
+struct TaskRequested {
+  CellId cell;
+  Epoch epoch;
+  TaskEffect effect;
+};
+/// Starts reports from the workers of the cell.
+struct CellTaken {
+  Epoch epoch;
+  configuration::CellTopology topology;
+};
+struct CellDropped {
+  CellId cell;
+};
+struct TopologyReplaced {
+  configuration::CellTopology topology;
+};
+using ToEndpoint =
+    std::variant<TaskRequested, CellTaken, CellDropped, TopologyReplaced>;
+
+// To platform_link.
+
+struct JournalAppended {
+  CellId cell;
+  Epoch epoch;
+  cell::AppendJournal append;
+};
+/// Covers every record appended before it on the same ring.
+struct SnapshotTaken {
+  CellId cell;
+  Epoch epoch;
+  std::vector<cell::JournalRecord> records;
+};
+/// The handover is done: make the journal durable, then give the row back.
+struct CellReleased {
+  CellId cell;
+  Epoch epoch;
+};
+/// What the ownership planner wants of the store.
+using OwnershipStoreAction =
+    std::variant<membership::ReadRow, membership::ClaimCell,
+                 membership::ReleaseCell>;
+struct OwnershipRequested {
+  OwnershipStoreAction action;
+};
+/// The cell has a higher epoch elsewhere: write nothing more for it.
+struct JournalClosed {
+  CellId cell;
+  Epoch epoch;
+};
+struct NoteSubmitted {
+  std::uint64_t number = 0;
+  std::string text;
+  bool check_only = false;
+};
+struct NotesListed {
+  std::uint64_t number = 0;
+  Revision after;
+};
+/// Release notes that a peer sent.
+struct NotesReceived {
+  protocol::Notes notes;
+};
+/// A peer asks for notes; answered through peer_link.
+struct PeerNotesRequested {
+  std::uint64_t connection = 0;
+  Revision after;
+};
+/// The number of owners this instance knows: its divisor of the write budget.
+struct OwnersCounted {
+  std::uint32_t owners = 1;
+};
+using ToPlatform =
+    std::variant<JournalAppended, SnapshotTaken, CellReleased,
+                 OwnershipRequested, JournalClosed, NoteSubmitted, NotesListed,
+                 NotesReceived, PeerNotesRequested, OwnersCounted>;
+
+// To peer_link.
+
+struct CallForwarded {
+  InstanceId owner;
+  protocol::ForwardedCall call;
+};
+struct ForwardAbandoned {
+  InstanceId owner;
+  std::uint64_t number = 0;
+};
+/// The decider's reply to a call that came over a peer connection.
+struct PeerReplied {
+  cell::ReplyToken token;
+  cell::CallReply reply;
+};
+/// What this instance's heartbeats say of its cells.
+struct CellsReported {
+  std::vector<membership::OwnedCell> cells;
+};
+struct ListReceived {
+  std::vector<membership::ListedInstance> instances;
+};
+// Answers to OwnershipStoreAction.
+struct RowWasRead {
+  CellId cell;
+  membership::VersionedRow row;
+};
+struct WriteWasCommitted {
+  CellId cell;
+  std::uint64_t version = 0;
+};
+struct WriteConflicted {
+  CellId cell;
+  membership::VersionedRow present;
+};
+struct WriteIsUnknown {
+  CellId cell;
+};
+struct StoreFailed {
+  CellId cell;
+};
+/// A journal write was refused for a higher epoch.
+struct EpochRefused {
+  CellId cell;
+};
+/// The journal of the yielded cell is durable.
+struct HandoverFinished {
+  CellId cell;
+};
+using OwnershipAnswer =
+    std::variant<RowWasRead, WriteWasCommitted, WriteConflicted, WriteIsUnknown,
+                 StoreFailed, EpochRefused, HandoverFinished>;
+struct PeerNotesFound {
+  std::uint64_t connection = 0;
+  protocol::Notes notes;
+};
+/// Heartbeats say that this instance leaves; its cells are handed over.
+struct LeaveSite {};
+using ToPeer =
+    std::variant<CallForwarded, ForwardAbandoned, PeerReplied, CellsReported,
+                 ListReceived, OwnershipAnswer, PeerNotesFound, CellsChanged,
+                 ConfigurationChanged, LeaveSite>;
+
+/// @return the cell's input for an operation whose reply goes to `token`.
+[[nodiscard]] cell::Input ToInput(cell::ReplyToken token, protocol::CallOp op);
+
+// To telemetry.
+
+struct MetricsRequested {
+  std::uint64_t number = 0;
+};
+using ToTelemetry = std::variant<MetricsRequested>;
+
+}  // namespace jasminespar::daemon
+
+#endif  // JASMINESPAR_DAEMON_DUTY_MESSAGES_H_
--- /dev/null
+++ b/packages/daemon/include/jasminespar/daemon/endpoint_link.h
@@ -0,0 +1,85 @@
+/// @file
+/// Duty endpoint_link: all connections to the endpoints of the owned cells.
+
+#ifndef JASMINESPAR_DAEMON_ENDPOINT_LINK_H_
+#define JASMINESPAR_DAEMON_ENDPOINT_LINK_H_
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <cstddef>
+#include <map>
+#include <memory>
+
+#include "jasminespar/daemon/duty_messages.h"
+#include "jasminespar/endpoint/worker_client.h"
+#include "jasminespar/runtime/channel.h"
+#include "jasminespar/runtime/duty.h"
+#include "jasminespar/telemetry/metrics.h"
+
+namespace jasminespar::daemon {
+
+struct EndpointLinkSettings {
+  std::size_t connections_per_endpoint = 8;  ///< Of the endpoint's 64.
+  Duration request_timeout = 2s;
+  Duration report_wait = 2s;
+  Duration worker_lease = 10s;
+};
+
+/// Runs on its duty's thread only.
+class EndpointLink {
+ public:
+  EndpointLink(runtime::Duty& duty, const EndpointLinkSettings& settings,
+               runtime::Channel<ToDecider>& decider,
+               telemetry::Metrics& metrics);
+
+  void Handle(ToEndpoint message);
+
+ private:
+  /// Reports from one worker for one ownership; ends when `active` is false.
+  struct Subscription {
+    endpoint::CellRef cell;
+    WorkerId worker;
+    std::shared_ptr<endpoint::WorkerClient> client;
+    bool active = true;
+    bool leaving = false;
+    std::uint64_t after = 0;
+    std::uint64_t restarted = 0;
+    TimePoint last_contact;
+    bool lapsed = false;
+  };
+  struct OwnedCell {
+    Epoch epoch;
+    std::map<WorkerId, std::shared_ptr<Subscription>> workers;
+  };
+  using SubscriptionPtr = std::shared_ptr<Subscription>;
+
+  void On(TaskRequested message);
+  void On(const CellTaken& message);
+  void On(const CellDropped& message);
+  void On(const TopologyReplaced& message);
+
+  void Subscribe(OwnedCell& owned, const configuration::CellTopology& topology);
+  boost::asio::awaitable<void> ReadReports(SubscriptionPtr subscription);
+  boost::asio::awaitable<bool> ReadReport(SubscriptionPtr subscription);
+  boost::asio::awaitable<void> Deliver(SubscriptionPtr subscription,
+                                       cell::ReportedTask task);
+  void Lapse(Subscription& subscription);
+  boost::asio::awaitable<void> Perform(SubscriptionPtr subscription,
+                                       TaskEffect effect);
+  void ReportReply(const Subscription& subscription, const cell::TaskRef& task,
+                   const endpoint::TaskReply& reply);
+  void Tell(const Subscription& subscription, cell::Input input);
+  void ReportFenced(const Subscription& subscription);
+
+  boost::asio::io_context& context_;
+  EndpointLinkSettings settings_;
+  runtime::Channel<ToDecider>& decider_;
+  telemetry::Metrics& metrics_;
+  std::map<CellId, OwnedCell> cells_;
+  std::map<configuration::Address, std::shared_ptr<endpoint::WorkerClient>>
+      clients_;
+};
+
+}  // namespace jasminespar::daemon
+
+#endif  // JASMINESPAR_DAEMON_ENDPOINT_LINK_H_
--- /dev/null
+++ b/packages/daemon/include/jasminespar/daemon/instance.h
@@ -0,0 +1,36 @@
+/// @file
+/// One instance of the system: its duties and the rings between them.
+
+#ifndef JASMINESPAR_DAEMON_INSTANCE_H_
+#define JASMINESPAR_DAEMON_INSTANCE_H_
+
+#include <memory>
+
+#include "jasminespar/settings/daemon_settings.h"
+
+namespace jasminespar::daemon {
+
+/// Runs from construction to the end of `Run`.
+class Instance {
+ public:
+  /// Binds all sockets.
+  /// @throws std::exception when an address cannot be bound.
+  explicit Instance(const settings::DaemonSettings& settings);
+  ~Instance();
+
+  Instance(const Instance&) = delete;
+  Instance& operator=(const Instance&) = delete;
+
+  /// Starts every duty, waits for SIGTERM or SIGINT, then shuts down: not
+  /// ready first, cells handed over, requests in progress relayed to their
+  /// end, at most `shutdown_grace`.
+  void Run();
+
+ private:
+  class Impl;
+  std::unique_ptr<Impl> impl_;
+};
+
+}  // namespace jasminespar::daemon
+
+#endif  // JASMINESPAR_DAEMON_INSTANCE_H_
--- /dev/null
+++ b/packages/daemon/include/jasminespar/daemon/peer_link.h
@@ -0,0 +1,128 @@
+/// @file
+/// Duty peer_link: membership, ownership planning and forwarded calls; all
+/// traffic between instances.
+
+#ifndef JASMINESPAR_DAEMON_PEER_LINK_H_
+#define JASMINESPAR_DAEMON_PEER_LINK_H_
+
+#include <atomic>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <set>
+#include <vector>
+
+#include "jasminespar/daemon/duty_messages.h"
+#include "jasminespar/daemon/peer_connection.h"
+#include "jasminespar/membership/member_table.h"
+#include "jasminespar/membership/ownership.h"
+#include "jasminespar/runtime/channel.h"
+#include "jasminespar/runtime/duty.h"
+#include "jasminespar/telemetry/metrics.h"
+
+namespace jasminespar::daemon {
+
+struct PeerLinkSettings {
+  membership::ListedInstance self;  ///< With the advertised addresses.
+  configuration::Address listen;    ///< Bound for UDP and TCP.
+  std::uint64_t incarnation = 0;
+  Duration heartbeat_interval = 200ms;
+  Duration connect_timeout = 1s;
+  membership::MemberSettings members;
+  membership::OwnershipSettings ownership;
+};
+
+struct PeerOutputs {
+  runtime::Channel<ToFront>& front;
+  runtime::Channel<ToDecider>& decider;
+  runtime::Channel<ToPlatform>& platform;
+};
+
+/// Runs on its duty's thread only, `held_cells` excepted.
+class PeerLink {
+ public:
+  /// Binds both sockets. @throws std::exception when that fails.
+  PeerLink(runtime::Duty& duty, const PeerLinkSettings& settings,
+           PeerOutputs outputs, telemetry::Metrics& metrics);
+
+  void Start();
+  void Handle(ToPeer message);
+
+  /// @return cells owned now; any thread.
+  [[nodiscard]] std::size_t held_cells() const noexcept { return held_; }
+
+ private:
+  using ConnectionPtr = std::shared_ptr<PeerConnection>;
+
+  /// Connection to one peer and the calls that wait for its replies.
+  struct Outbound {
+    ConnectionPtr connection;
+    std::set<std::uint64_t> awaiting;
+  };
+
+  void On(CallForwarded message);
+  void On(const ForwardAbandoned& message);
+  void On(PeerReplied message);
+  void On(CellsReported message);
+  void On(const ListReceived& message);
+  void On(const OwnershipAnswer& message);
+  void On(PeerNotesFound message);
+  void On(const CellsChanged& message);
+  void On(const ConfigurationChanged& message);
+  void On(const LeaveSite& message);
+
+  void OnPeerMessage(std::uint64_t connection, protocol::PeerMessage message);
+  void OnForwardedCall(std::uint64_t connection, protocol::ForwardedCall call);
+  void OnClosed(std::uint64_t connection);
+  [[nodiscard]] Outbound* OutboundTo(const InstanceId& instance);
+  void FailAwaiting(Outbound& outbound);
+  void CloseSuspected(const membership::View& view);
+
+  boost::asio::awaitable<void> AcceptPeers();
+  boost::asio::awaitable<void> ReceiveHeartbeats();
+  void OnHeartbeat(const membership::Heartbeat& heartbeat);
+  void Beat();
+  void ArmBeat();
+  void PullNotes(const membership::Heartbeat& heartbeat);
+
+  void MarkViewDirty();
+  void PublishView();
+  void PlanOwnership();
+  void Perform(const std::vector<membership::OwnershipAction>& actions);
+  void Drop(const CellId& cell, Epoch epoch, Reason reason);
+  [[nodiscard]] ConnectionPtr MakeConnection();
+
+  boost::asio::io_context& context_;
+  PeerLinkSettings settings_;
+  PeerOutputs outputs_;
+  telemetry::Metrics& metrics_;
+  membership::MemberTable members_;
+  membership::OwnershipPlanner planner_;
+  std::vector<CellId> cell_ids_;
+  std::vector<membership::OwnedCell> owned_;
+  std::map<CellId, Epoch> releasing_;  // Rows being given back.
+  Revision revision_;
+  std::uint64_t sequence_ = 0;
+  bool leaving_ = false;
+  bool view_dirty_ = false;
+  TimePoint last_pull_;
+  std::atomic<std::size_t> held_{0};
+
+  std::uint64_t last_connection_ = 0;
+  std::map<std::uint64_t, ConnectionPtr> inbound_;
+  std::map<InstanceId, Outbound> outbound_;
+
+  boost::asio::ip::udp::socket udp_;
+  boost::asio::ip::tcp::acceptor acceptor_;
+  boost::asio::steady_timer beat_timer_;
+  boost::asio::steady_timer view_timer_;
+};
+
+}  // namespace jasminespar::daemon
+
+#endif  // JASMINESPAR_DAEMON_PEER_LINK_H_
--- /dev/null
+++ b/packages/daemon/src/caller_front.cc
@@ -0,0 +1,409 @@
+#include "jasminespar/daemon/caller_front.h"
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+#include "jasminespar/codec/configuration_json.h"
+#include "jasminespar/core/overloaded.h"
+#include "jasminespar/front/call_codec.h"
+#include "jasminespar/front/status_codec.h"
+#include "jasminespar/runtime/clock.h"
+#include "jasminespar/telemetry/events.h"
+
+namespace jasminespar::daemon {
+
+namespace asio = boost::asio;
+using http::Response;
+
+namespace {
+
+constexpr Duration kFirstBackoff = 20ms;
+constexpr Duration kLongestBackoff = 500ms;
+
+/// The cell answers by the deadline; this is for the way back.
+constexpr Duration kReplySlack = 500ms;
+constexpr Duration kStatusTimeout = 5s;
+constexpr Duration kNoteTimeout = 15s;
+constexpr int kOk = 200;
+constexpr int kMethodNotAllowed = 405;
+constexpr int kUnavailable = 503;
+
+/// Reasons that concern the way to the cell and not the call: another owner
+/// may take it. Asking again under the same key is always safe, as the cell
+/// joins it to what it knows of the call.
+bool ConcernsRouting(Reason reason) {
+  switch (reason) {
+    case Reason::kNoOwner:
+    case Reason::kNotOwner:
+    case Reason::kOwnerUnreachable:
+    case Reason::kRecovering:
+    case Reason::kStaleEpoch:
+    case Reason::kShuttingDown:
+      return true;
+    default:
+      return false;
+  }
+}
+
+Response MakeText(int status, std::string body, const char* type) {
+  Response response;
+  response.status = status;
+  response.headers.push_back({"Content-Type", type});
+  response.body = std::move(body);
+  return response;
+}
+
+Refusal RefuseFor(Reason reason, Verdict verdict) {
+  Refusal refusal;
+  refusal.reason = reason;
+  refusal.verdict = verdict;
+  return refusal;
+}
+
+std::uint64_t ParseRevision(std::string_view text) {
+  std::uint64_t value = 0;
+  std::from_chars(text.data(), text.data() + text.size(), value);
+  return value;
+}
+
+asio::awaitable<void> Sleep(asio::io_context& context, Duration span) {
+  asio::steady_timer timer(context, span);
+  boost::system::error_code ignored;
+  co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+}
+
+}  // namespace
+
+CallerFront::CallerFront(runtime::Duty& duty, const FrontSettings& settings,
+                         FrontOutputs outputs, telemetry::Metrics& metrics)
+    : context_(duty.context()),
+      settings_(settings),
+      outputs_(outputs),
+      metrics_(metrics),
+      view_(std::make_shared<membership::View>()),
+      cells_(std::make_shared<std::vector<configuration::CellTopology>>()),
+      configuration_(std::make_shared<configuration::Configuration>()),
+      calls_(context_, 0),
+      notes_(context_, 0),
+      metrics_replies_(context_, 0),
+      random_(settings.random_seed),
+      drain_timer_(context_),
+      server_(
+          context_, settings.listen.host, settings.listen.port, settings.limits,
+          [this](http::Request request,
+                 std::shared_ptr<http::ConnectionState> state) {
+            return Serve(std::move(request), std::move(state));
+          },
+          [this](Reason reason) {
+            return Refuse(RefuseFor(reason, Verdict::kNotRun));
+          }) {}
+
+void CallerFront::Start() { server_.Start(); }
+
+void CallerFront::Handle(ToFront message) {
+  std::visit([this](auto&& alternative) { On(std::move(alternative)); },
+             std::move(message));
+}
+
+void CallerFront::On(CallReplied message) {
+  if (!calls_.Fill(message.number, std::move(message.reply))) {
+    metrics_.Count(telemetry::Counter::kStaleAnswers);
+  }
+}
+
+void CallerFront::On(const ViewChanged& message) {
+  view_ = message.view;
+  // Whoever waits for an owner that was replaced asks the new one.
+  std::vector<std::uint64_t> overtaken;
+  calls_.ForEachWaiting([&](std::uint64_t number) {
+    const auto found = asked_.find(number);
+    if (found == asked_.end()) return;
+    const membership::CellOwner* owner = view_->FindCell(found->second.cell);
+    if (owner != nullptr && found->second.epoch < owner->epoch) {
+      overtaken.push_back(number);
+    }
+  });
+  for (const std::uint64_t number : overtaken) {
+    calls_.Fill(number, RefuseFor(Reason::kStaleEpoch, Verdict::kMayHaveRun));
+  }
+}
+
+void CallerFront::On(NoteAnswered message) {
+  const std::uint64_t number = message.number;
+  notes_.Fill(number, std::move(message));
+}
+
+void CallerFront::On(MetricsRendered message) {
+  metrics_replies_.Fill(message.number, std::move(message.text));
+}
+
+void CallerFront::On(const CellsChanged& message) { cells_ = message.cells; }
+
+void CallerFront::On(const ConfigurationChanged& message) {
+  configuration_ = message.configuration;
+  configuration_known_ = true;
+}
+
+void CallerFront::On(const DrainFront&) {
+  draining_ = true;
+  drain_timer_.expires_after(settings_.drain_delay);
+  drain_timer_.async_wait([this](const boost::system::error_code& error) {
+    if (!error) server_.StopAccepting();
+  });
+}
+
+Response CallerFront::Refuse(const Refusal& refusal) {
+  metrics_.CountRefusal(refusal.reason);
+  return front::ToProblem(refusal);
+}
+
+asio::awaitable<Response> CallerFront::Serve(
+    http::Request request, std::shared_ptr<http::ConnectionState>) {
+  ++waiting_;
+  Response response;
+  std::string failure;
+  try {
+    response = co_await Dispatch(std::move(request));
+  } catch (const std::exception& error) {
+    failure = error.what();
+  }
+  --waiting_;
+  if (!failure.empty()) {
+    telemetry::LogEvent(telemetry::Event::kInternalError,
+                        {{"detail", failure}});
+    Refusal refusal =
+        RefuseFor(Reason::kMalformedRequest, Verdict::kMayHaveRun);
+    refusal.detail = failure;
+    co_return Refuse(refusal);
+  }
+  co_return response;
+}
+
+asio::awaitable<Response> CallerFront::Dispatch(http::Request request) {
+  const std::string path(http::PathOf(request.target));
+  const auto segments = http::SegmentsOf(path);
+  const bool v1 = !segments.empty() && segments[0] == "v1";
+  if (v1 && segments.size() == 4 && segments[1] == "services" &&
+      segments[3] == "calls" && request.method == "POST") {
+    ServiceId service{std::string(segments[2])};
+    co_return co_await ServeSubmit(std::move(request), std::move(service));
+  }
+  if (v1 && segments.size() == 3 && segments[1] == "calls") {
+    const auto id = ParseCallId(segments[2]);
+    if (!id) co_return Refuse(RefuseFor(Reason::kNotFound, Verdict::kNotRun));
+    co_return co_await ServeCall(std::move(request), *id);
+  }
+  if (v1 && segments.size() == 2 && segments[1] == "release-notes") {
+    co_return co_await ServeNotes(std::move(request));
+  }
+  if (path == "/metrics") co_return co_await ServeMetrics();
+  co_return ServeStatus(path);
+}
+
+Response CallerFront::ServeStatus(std::string_view path) const {
+  if (path == "/healthz") return MakeText(kOk, "ok\n", "text/plain");
+  if (path == "/readyz") {
+    const bool ready = !draining_ && configuration_known_;
+    return MakeText(ready ? kOk : kUnavailable,
+                    ready ? "ready\n" : "not ready\n", "text/plain");
+  }
+  const TimePoint now = runtime::SteadyNow();
+  if (path == "/v1/configuration") {
+    return MakeText(kOk, codec::EncodeConfiguration(*configuration_),
+                    "application/json");
+  }
+  if (path == "/v1/instances") {
+    return MakeText(kOk, front::EncodeInstances(*view_, now),
+                    "application/json");
+  }
+  if (path == "/v1/cells") {
+    return MakeText(kOk, front::EncodeCells(*view_, now), "application/json");
+  }
+  return front::ToProblem(RefuseFor(Reason::kNotFound, Verdict::kNotRun));
+}
+
+asio::awaitable<Response> CallerFront::ServeMetrics() {
+  const std::uint64_t number = metrics_replies_.Open();
+  outputs_.telemetry.Send(MetricsRequested{number});
+  auto text = co_await metrics_replies_.Wait(number, kStatusTimeout);
+  if (!text) co_return MakeText(kUnavailable, "", "text/plain");
+  co_return MakeText(kOk, std::move(*text), "text/plain; version=0.0.4");
+}
+
+asio::awaitable<Response> CallerFront::ServeNotes(http::Request request) {
+  const std::uint64_t number = notes_.Open();
+  if (request.method == "GET") {
+    outputs_.platform.Send(NotesListed{
+        number,
+        Revision{ParseRevision(http::QueryOf(request.target, "after"))}});
+  } else if (request.method == "POST") {
+    const bool check = http::QueryOf(request.target, "check") == "true";
+    outputs_.platform.Send(
+        NoteSubmitted{number, std::move(request.body), check});
+  } else {
+    co_return MakeText(kMethodNotAllowed, "", "text/plain");
+  }
+  auto answer = co_await notes_.Wait(number, kNoteTimeout);
+  if (!answer) {
+    co_return Refuse(
+        RefuseFor(Reason::kStoreUnavailable, Verdict::kMayHaveRun));
+  }
+  if (answer->refused) metrics_.CountRefusal(*answer->refused);
+  co_return MakeText(answer->http_status, std::move(answer->json),
+                     "application/json");
+}
+
+asio::awaitable<Response> CallerFront::ServeSubmit(http::Request request,
+                                                   ServiceId service) {
+  auto parsed =
+      front::ParseCallRequest(std::move(request), service, *configuration_);
+  if (const auto* refusal = std::get_if<Refusal>(&parsed)) {
+    co_return Refuse(*refusal);
+  }
+  if (outputs_.decider.congested() || outputs_.peer.congested()) {
+    co_return Refuse(RefuseFor(Reason::kRingFull, Verdict::kNotRun));
+  }
+  CallRequest& call = std::get<CallRequest>(parsed);
+  const CallId id = call.id;
+  const auto home = membership::HomeCell(
+      id, AllowedCells(&configuration_->services.at(service)));
+  if (!home) {
+    co_return Refuse(RefuseFor(Reason::kNoOwner, Verdict::kNotRun));
+  }
+  Errand errand;
+  errand.cell = *home;
+  errand.deadline = runtime::SteadyNow() + call.time_left;
+  errand.op = protocol::SubmitOp{std::move(call)};
+  cell::CallReply reply = co_await Run(std::move(errand));
+  if (const auto* refusal = std::get_if<Refusal>(&reply)) {
+    metrics_.CountRefusal(refusal->reason);
+  }
+  co_return front::ToResponse(id, std::move(reply));
+}
+
+asio::awaitable<Response> CallerFront::ServeCall(http::Request request,
+                                                 CallId id) {
+  const ClientAccountId account{
+      std::string(http::HeaderOf(request.headers, "Jasminespar-Account"))};
+  cell::CallReply reply = RefuseFor(Reason::kNotFound, Verdict::kNotRun);
+  for (const CellId& home : HomesOf(id)) {
+    Errand errand;
+    errand.cell = home;
+    errand.deadline = runtime::SteadyNow() + kStatusTimeout;
+    if (request.method == "DELETE") {
+      errand.op = protocol::CancelOp{id, account};
+    } else if (request.method == "GET") {
+      errand.op = protocol::LookUpOp{id, account};
+    } else {
+      co_return MakeText(kMethodNotAllowed, "", "text/plain");
+    }
+    reply = co_await Run(std::move(errand));
+    const auto* refusal = std::get_if<Refusal>(&reply);
+    if (refusal == nullptr || refusal->reason != Reason::kNotFound) break;
+  }
+  co_return front::ToResponse(id, std::move(reply));
+}
+
+asio::awaitable<cell::CallReply> CallerFront::Run(Errand first) {
+  auto errand = std::make_shared<Errand>(std::move(first));
+  Duration backoff = kFirstBackoff;
+  while (true) {
+    cell::CallReply reply = co_await Ask(errand);
+    auto* refusal = std::get_if<Refusal>(&reply);
+    if (refusal == nullptr) co_return reply;
+    errand->known = Worst(errand->known, refusal->verdict);
+    refusal->verdict = errand->known;
+    const Duration pause = Jittered(backoff);
+    if (!ConcernsRouting(refusal->reason) ||
+        runtime::SteadyNow() + pause >= errand->deadline) {
+      co_return reply;
+    }
+    metrics_.CountRetry(refusal->reason);
+    co_await Sleep(context_, pause);
+    backoff = std::min(2 * backoff, kLongestBackoff);
+  }
+}
+
+asio::awaitable<cell::CallReply> CallerFront::Ask(
+    std::shared_ptr<Errand> errand) {
+  const membership::RouteDecision decision =
+      membership::Route(routing_, *view_, errand->cell, 0);
+  if (const auto* refuse = std::get_if<membership::RefuseRoute>(&decision)) {
+    co_return refuse->refusal;
+  }
+  const Duration left = errand->deadline - runtime::SteadyNow();
+  if (auto* submit = std::get_if<protocol::SubmitOp>(&errand->op)) {
+    submit->request.time_left = std::max(left, Duration(1ms));
+  }
+  const std::uint64_t number = calls_.Open();
+  Send(decision, *errand, number);
+  auto reply = co_await calls_.Wait(number, left + kReplySlack);
+  const Asked asked = std::move(asked_[number]);
+  asked_.erase(number);
+  if (reply) co_return std::move(*reply);
+  if (asked.peer) {
+    outputs_.peer.Send(ForwardAbandoned{*asked.peer, number});
+  } else {
+    outputs_.decider.Send(
+        CellInput{asked.cell, std::nullopt,
+                  cell::ForgetToken{cell::ReplyToken{0, number}}});
+  }
+  co_return RefuseFor(Reason::kDeadlinePassed, Verdict::kMayHaveRun);
+}
+
+void CallerFront::Send(const membership::RouteDecision& decision,
+                       const Errand& errand, std::uint64_t number) {
+  if (const auto* forward = std::get_if<membership::Forward>(&decision)) {
+    asked_[number] = {forward->cell, forward->epoch, forward->instance};
+    outputs_.peer.Send(CallForwarded{
+        forward->instance,
+        protocol::ForwardedCall{number, forward->cell, 1, errand.op}});
+    return;
+  }
+  const auto& here = std::get<membership::ServeHere>(decision);
+  asked_[number] = {here.cell, here.epoch, std::nullopt};
+  outputs_.decider.Send(
+      CellInput{here.cell, std::nullopt,
+                ToInput(cell::ReplyToken{0, number}, errand.op)});
+}
+
+std::vector<membership::WeightedCell> CallerFront::AllowedCells(
+    const configuration::Service* service) const {
+  std::vector<membership::WeightedCell> allowed;
+  for (const configuration::CellTopology& cell : *cells_) {
+    if (service != nullptr && !service->data_centres.empty() &&
+        std::find(service->data_centres.begin(), service->data_centres.end(),
+                  configuration::DataCentreOf(cell.id)) ==
+            service->data_centres.end()) {
+      continue;
+    }
+    // Listed workers count whatever their state: a home that moved with every
+    // failure would let two cells hold the same key.
+    double weight = 0;
+    for (const configuration::Worker& worker : cell.workers) {
+      weight += worker.accelerators;
+    }
+    allowed.push_back({cell.id, weight});
+  }
+  return allowed;
+}
+
+std::vector<CellId> CallerFront::HomesOf(const CallId& id) const {
+  std::vector<CellId> homes;
+  for (const auto& [service_id, service] : configuration_->services) {
+    const auto home = membership::HomeCell(id, AllowedCells(&service));
+    if (home && std::find(homes.begin(), homes.end(), *home) == homes.end()) {
+      homes.push_back(*home);
+    }
+  }
+  return homes;
+}
+
+Duration CallerFront::Jittered(Duration span) {
+  std::uniform_int_distribution<Duration::rep> spread(span.count() / 2,
+                                                      span.count());
+  return Duration(spread(random_));
+}
+
+}  // namespace jasminespar::daemon
--- /dev/null
+++ b/packages/daemon/src/cell_decider.cc
@@ -0,0 +1,269 @@
+#include "jasminespar/daemon/cell_decider.h"
+
+#include <algorithm>
+#include <optional>
+#include <utility>
+
+#include "jasminespar/configuration/split.h"
+#include "jasminespar/core/overloaded.h"
+#include "jasminespar/runtime/clock.h"
+#include "jasminespar/telemetry/events.h"
+
+namespace jasminespar::daemon {
+namespace {
+
+constexpr Duration kReportInterval = 100ms;
+
+cell::Now PresentTime() {
+  return {runtime::SteadyNow(), cell::WallTime{runtime::WallMilliseconds()}};
+}
+
+/// @return the token that an input wants answered, if any.
+std::optional<cell::ReplyToken> TokenOf(const cell::Input& input) {
+  return std::visit(
+      [](const auto& message) -> std::optional<cell::ReplyToken> {
+        if constexpr (requires { message.token; }) {
+          using Message = std::decay_t<decltype(message)>;
+          if constexpr (!std::is_same_v<Message, cell::ForgetToken>) {
+            return message.token;
+          }
+        }
+        return std::nullopt;
+      },
+      input);
+}
+
+}  // namespace
+
+CellDecider::CellDecider(runtime::Duty& duty,
+                         const cell::CellSettings& settings,
+                         DeciderOutputs outputs, telemetry::Metrics& metrics)
+    : settings_(settings),
+      outputs_(outputs),
+      metrics_(metrics),
+      timer_(duty.context()),
+      report_timer_(duty.context()),
+      topology_(std::make_shared<std::vector<configuration::CellTopology>>()),
+      configuration_(std::make_shared<configuration::Configuration>()) {}
+
+void CellDecider::Start() { ReportCells(); }
+
+void CellDecider::Handle(ToDecider message) {
+  std::visit([this](auto&& alternative) { On(std::move(alternative)); },
+             std::move(message));
+  ArmTimer();
+}
+
+void CellDecider::On(CellInput message) {
+  const auto found = cells_.find(message.cell);
+  if (found == cells_.end() ||
+      (message.epoch && *message.epoch != found->second.cell.epoch())) {
+    RefuseUnowned(message);
+    return;
+  }
+  OwnedCell& owned = found->second;
+  if (const auto token = TokenOf(message.input)) {
+    owned.open_tokens.insert(*token);
+  }
+  if (const auto* forget = std::get_if<cell::ForgetToken>(&message.input)) {
+    owned.open_tokens.erase(forget->token);
+  }
+  Feed(found->first, owned, std::move(message.input));
+}
+
+void CellDecider::RefuseUnowned(const CellInput& message) {
+  const auto token = TokenOf(message.input);
+  if (!token) return;
+  Refusal refusal;
+  refusal.reason = Reason::kNotOwner;
+  Reply(*token, refusal);
+}
+
+void CellDecider::On(CellClaimed message) {
+  configuration::CellTopology topology = TopologyOf(message.cell);
+  cell::Cell cell(settings_, message.epoch, topology, ShareOf(message.cell),
+                  std::move(message.recovered), PresentTime());
+  cells_.erase(message.cell);
+  cells_.emplace(message.cell, OwnedCell{std::move(cell), {}, false, false});
+  outputs_.endpoint.Send(CellTaken{message.epoch, std::move(topology)});
+  telemetry::LogEvent(telemetry::Event::kRecoveryStarted,
+                      {{"cell", message.cell.value},
+                       {"epoch", std::to_string(message.epoch.durable)}});
+  ReportCells();
+}
+
+void CellDecider::On(const CellLost& message) {
+  const auto found = cells_.find(message.cell);
+  if (found == cells_.end() || found->second.cell.epoch() != message.epoch) {
+    return;
+  }
+  // Whoever waits asks the next owner; what ran here is known there.
+  for (const cell::ReplyToken& token : found->second.open_tokens) {
+    Refusal refusal;
+    refusal.reason = message.reason;
+    refusal.verdict = Verdict::kMayHaveRun;
+    Reply(token, refusal);
+  }
+  cells_.erase(found);
+  outputs_.endpoint.Send(CellDropped{message.cell});
+  telemetry::LogEvent(telemetry::Event::kCellLost,
+                      {{"cell", message.cell.value},
+                       {"epoch", std::to_string(message.epoch.durable)},
+                       {"reason", std::string(NameOf(message.reason))}});
+  ReportCells();
+}
+
+void CellDecider::On(const HandoverCell& message) {
+  const auto found = cells_.find(message.cell);
+  if (found == cells_.end() || found->second.handing_over) return;
+  found->second.handing_over = true;
+  telemetry::LogEvent(telemetry::Event::kHandoverStarted,
+                      {{"cell", message.cell.value}});
+  Feed(found->first, found->second, cell::BeginHandover{});
+}
+
+void CellDecider::On(const SnapshotWanted& message) {
+  const auto found = cells_.find(message.cell);
+  if (found == cells_.end() || found->second.cell.epoch() != message.epoch) {
+    return;
+  }
+  outputs_.platform.Send(SnapshotTaken{message.cell, message.epoch,
+                                       found->second.cell.SnapshotRecords()});
+}
+
+void CellDecider::On(const CellsChanged& message) {
+  topology_ = message.cells;
+  for (auto& [id, owned] : cells_) {
+    configuration::CellTopology topology = TopologyOf(id);
+    outputs_.endpoint.Send(TopologyReplaced{topology});
+    Feed(id, owned, cell::TopologyChanged{std::move(topology)});
+    Feed(id, owned, cell::ShareChanged{ShareOf(id)});
+  }
+}
+
+void CellDecider::On(const ConfigurationChanged& message) {
+  configuration_ = message.configuration;
+  for (auto& [id, owned] : cells_) {
+    Feed(id, owned, cell::ShareChanged{ShareOf(id)});
+  }
+}
+
+void CellDecider::Feed(const CellId& id, OwnedCell& owned, cell::Input input) {
+  const bool was_recovering = owned.cell.recovering();
+  std::vector<cell::Effect> effects =
+      owned.cell.Handle(std::move(input), PresentTime());
+  for (cell::Effect& effect : effects) Perform(id, owned, std::move(effect));
+  if (was_recovering && !owned.cell.recovering()) {
+    telemetry::LogEvent(telemetry::Event::kCellRecovered, {{"cell", id.value}});
+    ReportCells();
+  }
+  FinishHandover(id, owned);
+}
+
+void CellDecider::FinishHandover(const CellId& id, OwnedCell& owned) {
+  if (!owned.handing_over || owned.released || !owned.cell.quiescent()) return;
+  owned.released = true;
+  outputs_.platform.Send(CellReleased{id, owned.cell.epoch()});
+}
+
+void CellDecider::Perform(const CellId& id, OwnedCell& owned,
+                          cell::Effect effect) {
+  const Epoch epoch = owned.cell.epoch();
+  auto request = [&](auto task_effect) {
+    outputs_.endpoint.Send(
+        TaskRequested{id, epoch, TaskEffect(std::move(task_effect))});
+  };
+  std::visit(Overloaded{
+                 [&](cell::SendReply& reply) {
+                   owned.open_tokens.erase(reply.token);
+                   Reply(reply.token, std::move(reply.reply));
+                 },
+                 [&](cell::AppendJournal& append) {
+                   outputs_.platform.Send(
+                       JournalAppended{id, epoch, std::move(append)});
+                 },
+                 [&](cell::OrderTask& order) { request(std::move(order)); },
+                 [&](cell::ReleaseTask& release) { request(release); },
+                 [&](cell::StopTask& stop) { request(stop); },
+                 [&](cell::ForgetTask& forget) { request(forget); },
+                 [&](const cell::CountRetry& retry) {
+                   metrics_.CountRetry(retry.reason);
+                 },
+                 [&](const cell::CountStale&) {
+                   metrics_.Count(telemetry::Counter::kStaleAnswers);
+                 },
+             },
+             effect);
+}
+
+void CellDecider::Reply(cell::ReplyToken token, cell::CallReply reply) {
+  if (token.origin == 0) {
+    outputs_.front.Send(CallReplied{token.number, std::move(reply)});
+  } else {
+    outputs_.peer.Send(PeerReplied{token, std::move(reply)});
+  }
+}
+
+void CellDecider::ArmTimer() {
+  const TimePoint now = runtime::SteadyNow();
+  std::optional<TimePoint> earliest;
+  for (const auto& [id, owned] : cells_) {
+    const auto next = owned.cell.NextTick(now);
+    if (next && (!earliest || *next < *earliest)) earliest = next;
+  }
+  if (!earliest) {
+    timer_.cancel();
+    return;
+  }
+  timer_.expires_after(std::max(Duration::zero(), *earliest - now));
+  timer_.async_wait([this](const boost::system::error_code& error) {
+    if (!error) OnTimer();
+  });
+}
+
+void CellDecider::OnTimer() {
+  const TimePoint now = runtime::SteadyNow();
+  for (auto& [id, owned] : cells_) {
+    const auto next = owned.cell.NextTick(now);
+    if (next && *next <= now) Feed(id, owned, cell::Tick{});
+  }
+  ArmTimer();
+}
+
+void CellDecider::ReportCells() {
+  const TimePoint now = runtime::SteadyNow();
+  CellsReported report;
+  for (const auto& [id, owned] : cells_) {
+    membership::OwnedCell cell;
+    cell.cell = id;
+    cell.epoch = owned.cell.epoch();
+    cell.recovering = owned.cell.recovering();
+    cell.load = owned.cell.Summary(now);
+    report.cells.push_back(std::move(cell));
+  }
+  outputs_.peer.Send(std::move(report));
+  report_timer_.expires_after(kReportInterval);
+  report_timer_.async_wait([this](const boost::system::error_code& error) {
+    if (!error) ReportCells();
+  });
+}
+
+configuration::CellTopology CellDecider::TopologyOf(const CellId& id) const {
+  for (const configuration::CellTopology& cell : *topology_) {
+    if (cell.id == id) return cell;
+  }
+  return {id, {}};
+}
+
+configuration::CellShare CellDecider::ShareOf(const CellId& id) const {
+  configuration::SplitResult split =
+      configuration::Split(*configuration_, *topology_, {});
+  for (const configuration::UnplacedGuarantee& unplaced : split.unplaced) {
+    telemetry::LogEvent(telemetry::Event::kGuaranteeInfeasible,
+                        {{"account", unplaced.account.value},
+                         {"count", std::to_string(unplaced.missing.count)}});
+  }
+  return std::move(split.shares[id]);
+}
+
+}  // namespace jasminespar::daemon
--- /dev/null
+++ b/packages/daemon/src/cell_journal.cc
@@ -0,0 +1,388 @@
+#include "jasminespar/daemon/cell_journal.h"
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <cstdio>
+#include <utility>
+
+#include "jasminespar/core/error.h"
+#include "jasminespar/core/overloaded.h"
+#include "jasminespar/runtime/clock.h"
+#include "jasminespar/telemetry/events.h"
+
+namespace jasminespar::daemon {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr Duration kFirstBackoff = 50ms;
+constexpr Duration kLongestBackoff = 2s;
+
+/// Records that nothing waits for may wait this many write intervals.
+constexpr int kLazyIntervals = 4;
+
+/// A snapshot is asked for at half a ring and must be there before its end.
+constexpr std::uint64_t kSnapshotBatches = protocol::kJournalSlots / 2;
+
+/// Encoded size of a record besides its texts; bytes.
+constexpr std::size_t kRecordOverheadBytes = 160;
+
+std::size_t SizeOf(const cell::JournalRecord& record) {
+  return kRecordOverheadBytes +
+         std::visit(
+             Overloaded{
+                 [](const cell::CallAccepted& accepted) {
+                   return accepted.request.body.size();
+                 },
+                 [](const cell::AttemptStarting& starting) {
+                   return starting.placement.parts.size() * 16;
+                 },
+                 [](const cell::AttemptNeverStarted&) { return std::size_t{}; },
+                 [](const cell::CallEnded& ended) {
+                   const auto* answer = std::get_if<Answer>(&ended.outcome);
+                   return answer == nullptr ? 0 : answer->body.size();
+                 },
+             },
+             record);
+}
+
+std::string ToText(const Epoch& epoch) {
+  return std::to_string(epoch.durable) + "." +
+         std::to_string(epoch.provisional);
+}
+
+asio::awaitable<void> WaitOn(asio::steady_timer& timer) {
+  boost::system::error_code ignored;
+  co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+}
+
+}  // namespace
+
+CellJournal::CellJournal(asio::io_context& context,
+                         platform::TableClient& table, JournalFence fence,
+                         const JournalSettings& settings,
+                         JournalHandlers handlers, telemetry::Metrics& metrics)
+    : context_(context),
+      table_(table),
+      fence_(std::move(fence)),
+      settings_(settings),
+      handlers_(std::move(handlers)),
+      metrics_(metrics),
+      signal_(context),
+      random_(fence_.epoch.durable) {}
+
+void CellJournal::Start() {
+  asio::co_spawn(context_, Run(shared_from_this()), asio::detached);
+}
+
+void CellJournal::Append(cell::AppendJournal append) {
+  appended_ = append.sequence;
+  if (needs_snapshot_) return;  // The snapshot will hold it.
+  Unwritten unwritten{append.sequence, std::move(append.record), 0,
+                      append.urgent};
+  unwritten.bytes = SizeOf(unwritten.record);
+  unwritten_bytes_ += unwritten.bytes;
+  urgent_ += unwritten.urgent ? 1 : 0;
+  unwritten_.push_back(std::move(unwritten));
+  if (unwritten_bytes_ > settings_.max_unwritten_bytes) DropUnwritten();
+  signal_.cancel();
+}
+
+void CellJournal::DropUnwritten() {
+  unwritten_.clear();
+  unwritten_bytes_ = 0;
+  urgent_ = 0;
+  needs_snapshot_ = true;
+}
+
+void CellJournal::TakeSnapshot(std::vector<cell::JournalRecord> records) {
+  snapshot_ = Snapshot{protocol::Encode(records), appended_};
+  // What the snapshot covers needs no row of its own any more.
+  unwritten_.clear();
+  unwritten_bytes_ = 0;
+  urgent_ = 0;
+  needs_snapshot_ = false;
+  signal_.cancel();
+}
+
+void CellJournal::Finish() {
+  finishing_ = true;
+  signal_.cancel();
+}
+
+void CellJournal::Close() {
+  closed_ = true;
+  signal_.cancel();
+}
+
+void CellJournal::Fence() {
+  if (closed_) return;
+  Close();
+  metrics_.Count(telemetry::Counter::kJournalFenced);
+  telemetry::LogEvent(
+      telemetry::Event::kJournalFenced,
+      {{"cell", fence_.cell.value}, {"epoch", ToText(fence_.epoch)}});
+  handlers_.on_fenced();
+}
+
+asio::awaitable<void> CellJournal::Run(Self self) {
+  if (!co_await self->Recover()) co_return;
+  while (!self->closed_) {
+    if (self->snapshot_) {
+      co_await self->PublishSnapshot();
+      continue;
+    }
+    if (self->needs_snapshot_) self->WantSnapshot();
+    if (self->unwritten_.empty() || self->SlotsExhausted()) {
+      if (self->finishing_ && self->unwritten_.empty() &&
+          !self->needs_snapshot_) {
+        self->finishing_ = false;
+        self->handlers_.on_finished();
+      }
+      co_await self->WaitForWork();
+      continue;
+    }
+    co_await self->WaitForBudget();
+    if (!self->closed_ && !self->snapshot_) co_await self->WriteBatch();
+  }
+}
+
+asio::awaitable<void> CellJournal::WaitForWork() {
+  signal_.expires_at(asio::steady_timer::time_point::max());
+  co_await WaitOn(signal_);
+}
+
+asio::awaitable<void> CellJournal::WaitForBudget() {
+  while (!closed_ && !snapshot_ && !finishing_) {
+    const int intervals = urgent_ > 0 ? 1 : kLazyIntervals;
+    const TimePoint allowed = last_write_ + intervals * write_interval_;
+    const TimePoint now = runtime::SteadyNow();
+    if (now >= allowed) co_return;
+    signal_.expires_after(allowed - now);
+    co_await WaitOn(signal_);  // Woken early when something urgent came.
+  }
+}
+
+bool CellJournal::SlotsExhausted() const {
+  return last_batch_ - snapshot_through_ >= protocol::kJournalSlots - 1;
+}
+
+void CellJournal::WantSnapshot() {
+  if (std::exchange(snapshot_wanted_, true)) return;
+  handlers_.on_snapshot_wanted();
+}
+
+// Recovery.
+
+asio::awaitable<bool> CellJournal::Recover() {
+  while (!closed_) {
+    std::optional<cell::RecoveredState> state;
+    std::optional<Reason> failure;
+    try {
+      state = co_await ReadState();
+    } catch (const Error& error) {
+      failure = error.reason();
+    }
+    if (state) {
+      StoreAnswered();
+      handlers_.on_recovered(std::move(*state));
+      co_return true;
+    }
+    co_await Backoff(*failure);
+  }
+  co_return false;
+}
+
+asio::awaitable<cell::RecoveredState> CellJournal::ReadState() {
+  cell::RecoveredState state;
+  const std::string snapshot_row = "snapshot/" + fence_.cell.value;
+  std::vector<std::string> keys{snapshot_row};
+  const std::vector<platform::Row> rows = co_await table_.Read(std::move(keys));
+  if (!rows.empty()) {
+    const protocol::SnapshotRow row =
+        protocol::DecodeSnapshotRow(rows[0].value);
+    const auto bytes = co_await table_.GetObject(row.object_key);
+    if (!bytes || DigestOf(*bytes).value != row.digest) {
+      throw Error(Reason::kStoreUnavailable, Verdict::kNotRun,
+                  "snapshot " + row.object_key);
+    }
+    state.records = protocol::DecodeRecords(*bytes);
+    snapshot_version_ = rows[0].version;
+    snapshot_through_ = row.through;
+    snapshot_key_ = row.object_key;
+  }
+  std::map<std::uint64_t, protocol::JournalBatch> batches;
+  slot_versions_.clear();
+  for (const platform::Row& row :
+       co_await table_.Scan("journal/" + fence_.cell.value + "/")) {
+    protocol::JournalBatch batch = protocol::DecodeJournalBatch(row.value);
+    slot_versions_[batch.number % protocol::kJournalSlots] = row.version;
+    if (batch.number > snapshot_through_) {
+      batches.emplace(batch.number, std::move(batch));
+    }
+  }
+  last_batch_ = snapshot_through_;
+  for (auto& [number, batch] : batches) {
+    last_batch_ = number;
+    std::move(batch.records.begin(), batch.records.end(),
+              std::back_inserter(state.records));
+  }
+  co_return state;
+}
+
+// Writing.
+
+std::string CellJournal::SlotKey(std::uint64_t slot) const {
+  char text[8];
+  std::snprintf(text, sizeof text, "%04u", static_cast<unsigned>(slot));
+  return "journal/" + fence_.cell.value + "/" + text;
+}
+
+protocol::JournalBatch CellJournal::NextBatch(Sequence& through) {
+  protocol::JournalBatch batch;
+  batch.epoch = fence_.epoch;
+  batch.number = last_batch_ + 1;
+  std::size_t bytes = 0;
+  while (!unwritten_.empty() &&
+         (batch.records.empty() ||
+          bytes + unwritten_.front().bytes <= settings_.max_batch_bytes)) {
+    Unwritten& next = unwritten_.front();
+    bytes += next.bytes;
+    urgent_ -= next.urgent ? 1 : 0;
+    through = next.sequence;
+    batch.records.push_back(std::move(next.record));
+    unwritten_.pop_front();
+  }
+  unwritten_bytes_ -= bytes;
+  return batch;
+}
+
+asio::awaitable<void> CellJournal::WriteBatch() {
+  Sequence through;
+  const protocol::JournalBatch batch = NextBatch(through);
+  const std::uint64_t slot = batch.number % protocol::kJournalSlots;
+  const std::string key = SlotKey(slot);
+  platform::Transaction transaction;
+  transaction.id = fence_.cell.value + "/" + ToText(fence_.epoch) + "/" +
+                   std::to_string(batch.number);
+  transaction.conditions.push_back({fence_.row_key, fence_.row_version});
+  transaction.conditions.push_back({key, slot_versions_[slot]});
+  transaction.writes.push_back({key, protocol::Encode(batch)});
+  last_batch_ = batch.number;
+  const TimePoint begun = runtime::SteadyNow();
+  std::uint64_t version = 0;
+  if (!co_await Commit(std::move(transaction), version)) co_return;
+  slot_versions_[slot] = version;
+  last_write_ = begun;
+  metrics_.Count(telemetry::Counter::kJournalWrites);
+  metrics_.Count(telemetry::Counter::kJournalRecords, batch.records.size());
+  metrics_.Observe(telemetry::Timing::kJournalWrite,
+                   runtime::SteadyNow() - begun);
+  handlers_.on_durable(through);
+  if (last_batch_ - snapshot_through_ >= kSnapshotBatches) WantSnapshot();
+}
+
+asio::awaitable<bool> CellJournal::Commit(platform::Transaction transaction,
+                                          std::uint64_t& written_version) {
+  while (!closed_) {
+    std::optional<platform::TransactionResult> result;
+    std::optional<Reason> failure;
+    try {
+      result = co_await table_.Transact(transaction);
+      StoreAnswered();
+      metrics_.Count(telemetry::Counter::kStoreRowsWritten);
+      if (const auto* committed = std::get_if<platform::Committed>(&*result)) {
+        written_version = committed->versions.at(0);
+        co_return true;
+      }
+      const bool own =
+          co_await IsOwnWrite(transaction.writes[0], written_version);
+      if (own) {
+        metrics_.Count(telemetry::Counter::kStoreUnknownWrites);
+        telemetry::LogEvent(telemetry::Event::kJournalUnknownWriteResolved,
+                            {{"transaction", transaction.id}});
+        co_return true;
+      }
+      Fence();
+      co_return false;
+    } catch (const Error& error) {
+      failure = error.reason();
+    }
+    co_await Backoff(*failure);
+  }
+  co_return false;
+}
+
+asio::awaitable<bool> CellJournal::IsOwnWrite(platform::RowWrite write,
+                                              std::uint64_t& version) {
+  std::vector<std::string> keys{write.key};
+  const std::vector<platform::Row> rows = co_await table_.Read(std::move(keys));
+  if (rows.empty() || rows[0].value != write.value) co_return false;
+  version = rows[0].version;
+  co_return true;
+}
+
+asio::awaitable<void> CellJournal::PublishSnapshot() {
+  Snapshot snapshot = std::move(*snapshot_);
+  snapshot_.reset();
+  protocol::SnapshotRow row;
+  row.object_key = "snapshot/" + fence_.cell.value + "/" +
+                   ToText(fence_.epoch) + "-" +
+                   std::to_string(snapshot.through.value);
+  row.through = last_batch_;
+  row.digest = DigestOf(snapshot.bytes).value;
+  bool stored = false;
+  while (!closed_ && !stored) {
+    std::optional<Reason> failure;
+    try {
+      co_await table_.PutObject(row.object_key, snapshot.bytes);
+      StoreAnswered();
+      stored = true;
+    } catch (const Error& error) {
+      failure = error.reason();
+    }
+    if (failure) co_await Backoff(*failure);
+  }
+  if (closed_) co_return;
+  platform::Transaction transaction;
+  transaction.id = row.object_key;
+  const std::string key = "snapshot/" + fence_.cell.value;
+  transaction.conditions.push_back({fence_.row_key, fence_.row_version});
+  transaction.conditions.push_back({key, snapshot_version_});
+  transaction.writes.push_back({key, protocol::Encode(row)});
+  std::uint64_t version = 0;
+  if (!co_await Commit(std::move(transaction), version)) co_return;
+  const std::string replaced = std::exchange(snapshot_key_, row.object_key);
+  snapshot_version_ = version;
+  snapshot_through_ = row.through;
+  snapshot_wanted_ = false;
+  handlers_.on_durable(snapshot.through);
+  if (replaced.empty() || replaced == snapshot_key_) co_return;
+  try {
+    co_await table_.DeleteObject(replaced);
+  } catch (const Error&) {
+    // An object that nothing names costs space only.
+  }
+}
+
+asio::awaitable<void> CellJournal::Backoff(Reason reason) {
+  metrics_.CountRetry(reason);
+  metrics_.Count(telemetry::Counter::kStoreErrors);
+  if (std::exchange(store_available_, false)) handlers_.on_store(false);
+  backoff_ = std::clamp(2 * backoff_, kFirstBackoff, kLongestBackoff);
+  std::uniform_int_distribution<Duration::rep> spread(backoff_.count() / 2,
+                                                      backoff_.count());
+  asio::steady_timer timer(context_, Duration(spread(random_)));
+  co_await WaitOn(timer);
+}
+
+void CellJournal::StoreAnswered() {
+  backoff_ = Duration::zero();
+  if (!std::exchange(store_available_, true)) handlers_.on_store(true);
+}
+
+}  // namespace jasminespar::daemon
--- /dev/null
+++ b/packages/daemon/src/endpoint_link.cc
@@ -0,0 +1,257 @@
+#include "jasminespar/daemon/endpoint_link.h"
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <optional>
+#include <utility>
+
+#include "jasminespar/core/error.h"
+#include "jasminespar/core/overloaded.h"
+#include "jasminespar/runtime/clock.h"
+#include "jasminespar/telemetry/events.h"
+
+namespace jasminespar::daemon {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr Duration kFirstBackoff = 50ms;
+constexpr Duration kLongestBackoff = 1s;
+constexpr int kAnswerFetches = 4;
+
+/// Added to the lease, as the worker's clock may run slower than ours.
+constexpr Duration kLeaseMargin = 1s;
+
+asio::awaitable<void> Sleep(asio::io_context& context, Duration span) {
+  asio::steady_timer timer(context, span);
+  boost::system::error_code ignored;
+  co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+}
+
+cell::TaskRef TaskOf(const TaskEffect& effect) {
+  return std::visit(
+      Overloaded{[](const cell::OrderTask& order) { return order.order.task; },
+                 [](const auto& other) { return other.task; }},
+      effect);
+}
+
+}  // namespace
+
+EndpointLink::EndpointLink(runtime::Duty& duty,
+                           const EndpointLinkSettings& settings,
+                           runtime::Channel<ToDecider>& decider,
+                           telemetry::Metrics& metrics)
+    : context_(duty.context()),
+      settings_(settings),
+      decider_(decider),
+      metrics_(metrics) {}
+
+void EndpointLink::Handle(ToEndpoint message) {
+  std::visit([this](auto&& alternative) { On(std::move(alternative)); },
+             std::move(message));
+}
+
+void EndpointLink::On(const CellTaken& message) {
+  On(CellDropped{message.topology.id});
+  OwnedCell& owned = cells_[message.topology.id];
+  owned.epoch = message.epoch;
+  Subscribe(owned, message.topology);
+}
+
+void EndpointLink::On(const CellDropped& message) {
+  const auto found = cells_.find(message.cell);
+  if (found == cells_.end()) return;
+  for (auto& [worker, subscription] : found->second.workers) {
+    subscription->active = false;
+  }
+  cells_.erase(found);
+}
+
+void EndpointLink::On(const TopologyReplaced& message) {
+  const auto found = cells_.find(message.topology.id);
+  if (found != cells_.end()) Subscribe(found->second, message.topology);
+}
+
+void EndpointLink::Subscribe(OwnedCell& owned,
+                             const configuration::CellTopology& topology) {
+  for (const configuration::Worker& worker : topology.workers) {
+    if (owned.workers.contains(worker.id)) continue;
+    auto& client = clients_[worker.address];
+    if (client == nullptr) {
+      client = std::make_shared<endpoint::WorkerClient>(
+          context_, worker.address, settings_.connections_per_endpoint,
+          settings_.request_timeout);
+    }
+    auto subscription = std::make_shared<Subscription>();
+    subscription->cell = {topology.id, owned.epoch};
+    subscription->worker = worker.id;
+    subscription->client = client;
+    subscription->last_contact = runtime::SteadyNow();
+    owned.workers[worker.id] = subscription;
+    asio::co_spawn(context_, ReadReports(subscription), asio::detached);
+  }
+}
+
+asio::awaitable<void> EndpointLink::ReadReports(SubscriptionPtr subscription) {
+  Duration backoff = kFirstBackoff;
+  while (subscription->active) {
+    const bool reported = co_await ReadReport(subscription);
+    if (!subscription->active) co_return;
+    if (reported) {
+      backoff = kFirstBackoff;
+      continue;
+    }
+    Lapse(*subscription);
+    co_await Sleep(context_, backoff);
+    backoff = std::min(2 * backoff, kLongestBackoff);
+  }
+}
+
+asio::awaitable<bool> EndpointLink::ReadReport(SubscriptionPtr subscription) {
+  Subscription& state = *subscription;
+  const TimePoint asked = runtime::SteadyNow();
+  endpoint::Report report;
+  std::optional<Reason> failure;
+  try {
+    report = co_await state.client->FetchReport(state.cell, state.after,
+                                                settings_.report_wait);
+  } catch (const Error& error) {
+    failure = error.reason();
+  }
+  if (!state.active) co_return false;
+  if (failure) {
+    if (*failure == Reason::kStaleEpoch) ReportFenced(state);
+    co_return false;
+  }
+  state.last_contact = asked;  // The lease was renewed at or after `asked`.
+  state.lapsed = false;
+  const bool full = state.after == 0;
+  if (!full && (report.restarted != state.restarted ||
+                report.leaving != state.leaving)) {
+    state.after = 0;  // Ask again for everything.
+    co_return true;
+  }
+  state.restarted = report.restarted;
+  state.leaving = report.leaving;
+  state.after = report.change;
+  std::vector<cell::ReportedTask> tasks;
+  for (cell::ReportedTask& task : report.tasks) {
+    if (task.cell == state.cell.cell) tasks.push_back(std::move(task));
+  }
+  if (full) {
+    Tell(state, cell::WorkerReported{state.worker, report.leaving, tasks});
+  }
+  for (cell::ReportedTask& task : tasks) {
+    asio::co_spawn(context_, Deliver(subscription, std::move(task)),
+                   asio::detached);
+  }
+  co_return true;
+}
+
+asio::awaitable<void> EndpointLink::Deliver(SubscriptionPtr subscription,
+                                            cell::ReportedTask task) {
+  Subscription& state = *subscription;
+  cell::TaskChanged changed{task.task, task.epoch, task.state, std::nullopt};
+  const bool has_answer =
+      task.rank == 0 && task.state == cell::TaskState::kSucceeded;
+  for (int i = 0; has_answer && i < kAnswerFetches; ++i) {
+    bool unreachable = false;
+    try {
+      changed.answer = co_await state.client->FetchAnswer(state.cell, task);
+      break;
+    } catch (const Error& error) {
+      unreachable = error.reason() != Reason::kAnswerDamaged;
+      metrics_.CountRetry(error.reason());
+    }
+    if (!state.active) co_return;
+    co_await Sleep(context_, kFirstBackoff * (1 << i));
+    // While the worker cannot be reached, its answer is not known to be lost.
+    if (unreachable && !state.lapsed) i = std::max(i - 1, -1);
+  }
+  if (state.active) Tell(state, std::move(changed));
+}
+
+void EndpointLink::Lapse(Subscription& state) {
+  const Duration silence = runtime::SteadyNow() - state.last_contact;
+  if (state.lapsed || silence < settings_.worker_lease + kLeaseMargin) return;
+  state.lapsed = true;
+  state.after = 0;
+  telemetry::LogEvent(telemetry::Event::kWorkerLost,
+                      {{"cell", state.cell.cell.value},
+                       {"worker", std::to_string(state.worker.value)}});
+  Tell(state, cell::WorkerLapsed{state.worker});
+}
+
+void EndpointLink::On(TaskRequested message) {
+  const auto cell = cells_.find(message.cell);
+  if (cell == cells_.end() || cell->second.epoch != message.epoch) return;
+  const auto worker = cell->second.workers.find(TaskOf(message.effect).worker);
+  if (worker == cell->second.workers.end()) {
+    decider_.Send(CellInput{
+        message.cell, message.epoch,
+        cell::TaskOrderFailed{TaskOf(message.effect),
+                              Reason::kWorkerUnreachable, Verdict::kNotRun}});
+    return;
+  }
+  asio::co_spawn(context_, Perform(worker->second, std::move(message.effect)),
+                 asio::detached);
+}
+
+asio::awaitable<void> EndpointLink::Perform(SubscriptionPtr subscription,
+                                            TaskEffect effect) {
+  Subscription& state = *subscription;
+  const cell::TaskRef task = TaskOf(effect);
+  endpoint::TaskReply reply;
+  if (auto* order = std::get_if<cell::OrderTask>(&effect)) {
+    reply = co_await state.client->Order(std::move(order->order));
+  } else if (std::holds_alternative<cell::ReleaseTask>(effect)) {
+    reply = co_await state.client->Release(state.cell, task);
+  } else if (const auto* stop = std::get_if<cell::StopTask>(&effect)) {
+    reply = co_await state.client->Stop(state.cell, task, stop->mode);
+  } else {
+    co_await state.client->Forget(state.cell, task);
+    co_return;
+  }
+  if (state.active) ReportReply(state, task, reply);
+}
+
+void EndpointLink::ReportReply(const Subscription& subscription,
+                               const cell::TaskRef& task,
+                               const endpoint::TaskReply& reply) {
+  std::visit(
+      Overloaded{
+          [&](cell::TaskState state) {
+            // The answer comes with the report; until then the task runs.
+            if (state == cell::TaskState::kSucceeded) {
+              state = cell::TaskState::kRunning;
+            }
+            Tell(subscription, cell::TaskChanged{task, subscription.cell.epoch,
+                                                 state, std::nullopt});
+          },
+          [&](const endpoint::OrderRefused& refused) {
+            if (refused.reason == Reason::kStaleEpoch) {
+              ReportFenced(subscription);
+            }
+            Tell(subscription,
+                 cell::TaskOrderFailed{task, refused.reason, refused.verdict});
+          },
+      },
+      reply);
+}
+
+void EndpointLink::Tell(const Subscription& subscription, cell::Input input) {
+  decider_.Send(CellInput{subscription.cell.cell, subscription.cell.epoch,
+                          std::move(input)});
+}
+
+void EndpointLink::ReportFenced(const Subscription& subscription) {
+  decider_.Send(CellLost{subscription.cell.cell, subscription.cell.epoch,
+                         Reason::kStaleEpoch});
+}
+
+}  // namespace jasminespar::daemon
--- /dev/null
+++ b/packages/daemon/src/peer_connection.cc
@@ -0,0 +1,151 @@
+#include "jasminespar/daemon/peer_connection.h"
+
+#include <array>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/endian/conversion.hpp>
+#include <utility>
+
+#include "jasminespar/core/error.h"
+
+namespace jasminespar::daemon {
+
+namespace asio = boost::asio;
+using Tcp = asio::ip::tcp;
+
+namespace {
+
+constexpr std::size_t kLengthBytes = 4;
+
+/// A peer that reads this slowly is as good as cut off.
+constexpr std::size_t kMaxUnsentBytes = 64U << 20;
+
+std::string ToFrame(const protocol::PeerMessage& message) {
+  const std::string body = protocol::Encode(message);
+  std::string frame(kLengthBytes, '\0');
+  boost::endian::store_big_u32(reinterpret_cast<unsigned char*>(frame.data()),
+                               static_cast<std::uint32_t>(body.size()));
+  return frame + body;
+}
+
+}  // namespace
+
+PeerConnection::PeerConnection(asio::io_context& context, std::uint64_t number,
+                               PeerHandlers handlers)
+    : context_(context),
+      number_(number),
+      handlers_(std::move(handlers)),
+      socket_(context),
+      signal_(context) {}
+
+void PeerConnection::Adopt(Tcp::socket socket) {
+  socket_ = std::move(socket);
+  Start();
+}
+
+void PeerConnection::Connect(configuration::Address address, Duration timeout) {
+  asio::co_spawn(context_,
+                 ConnectAndRun(shared_from_this(), std::move(address), timeout),
+                 asio::detached);
+}
+
+void PeerConnection::Start() {
+  boost::system::error_code ignored;
+  socket_.set_option(Tcp::no_delay(true), ignored);
+  open_ = true;
+  asio::co_spawn(context_, ReadFrames(shared_from_this()), asio::detached);
+  asio::co_spawn(context_, WriteFrames(shared_from_this()), asio::detached);
+}
+
+bool PeerConnection::Send(const protocol::PeerMessage& message) {
+  if (closed_ || unsent_bytes_ > kMaxUnsentBytes) return false;
+  std::string frame = ToFrame(message);
+  if (frame.size() > protocol::kMaxFrameBytes) return false;
+  unsent_bytes_ += frame.size();
+  unsent_.push_back(std::move(frame));
+  signal_.cancel();
+  return true;
+}
+
+void PeerConnection::Close() {
+  if (closed_) return;
+  closed_ = true;
+  boost::system::error_code ignored;
+  socket_.close(ignored);
+  signal_.cancel();
+  // Not from inside the caller, who may be walking its own tables.
+  asio::post(context_, [self = shared_from_this()] {
+    self->handlers_.on_closed(self->number_);
+  });
+}
+
+asio::awaitable<void> PeerConnection::ConnectAndRun(
+    Self self, configuration::Address address, Duration timeout) {
+  asio::steady_timer timer(self->context_, timeout);
+  timer.async_wait([self](const boost::system::error_code& error) {
+    if (!error && !self->open_) self->Close();
+  });
+  boost::system::error_code error;
+  const Tcp::endpoint endpoint(asio::ip::make_address(address.host, error),
+                               address.port);
+  if (!error) {
+    co_await self->socket_.async_connect(
+        endpoint, asio::redirect_error(asio::use_awaitable, error));
+  }
+  if (error || self->closed_) {
+    self->Close();
+    co_return;
+  }
+  self->Start();
+}
+
+asio::awaitable<void> PeerConnection::ReadFrames(Self self) {
+  boost::system::error_code error;
+  std::array<unsigned char, kLengthBytes> length{};
+  std::string body;
+  while (!self->closed_) {
+    co_await asio::async_read(self->socket_, asio::buffer(length),
+                              asio::redirect_error(asio::use_awaitable, error));
+    if (error) break;
+    const std::uint32_t size = boost::endian::load_big_u32(length.data());
+    if (size > protocol::kMaxFrameBytes) break;
+    body.resize(size);
+    co_await asio::async_read(self->socket_, asio::buffer(body),
+                              asio::redirect_error(asio::use_awaitable, error));
+    if (error) break;
+    try {
+      self->handlers_.on_message(self->number_,
+                                 protocol::DecodePeerMessage(body));
+    } catch (const Error&) {
+      break;  // Not a peer, or another version: close.
+    }
+  }
+  self->Close();
+}
+
+asio::awaitable<void> PeerConnection::WriteFrames(Self self) {
+  boost::system::error_code error;
+  while (!self->closed_) {
+    if (self->unsent_.empty()) {
+      self->signal_.expires_at(asio::steady_timer::time_point::max());
+      co_await self->signal_.async_wait(
+          asio::redirect_error(asio::use_awaitable, error));
+      continue;
+    }
+    const std::string frame = std::move(self->unsent_.front());
+    self->unsent_.pop_front();
+    co_await asio::async_write(
+        self->socket_, asio::buffer(frame),
+        asio::redirect_error(asio::use_awaitable, error));
+    self->unsent_bytes_ -= frame.size();
+    if (error) break;
+  }
+  self->Close();
+}
+
+}  // namespace jasminespar::daemon
--- /dev/null
+++ b/packages/daemon/src/peer_link.cc
@@ -0,0 +1,401 @@
+#include "jasminespar/daemon/peer_link.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <utility>
+
+#include "jasminespar/core/error.h"
+#include "jasminespar/core/overloaded.h"
+#include "jasminespar/runtime/clock.h"
+#include "jasminespar/telemetry/events.h"
+
+namespace jasminespar::daemon {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using asio::ip::udp;
+
+namespace {
+
+/// Changes that arrive together give one view.
+constexpr Duration kViewDelay = 5ms;
+constexpr Duration kPullInterval = 100ms;
+
+template <typename Endpoint>
+Endpoint ToEndpointOf(const configuration::Address& address) {
+  return {asio::ip::make_address(address.host), address.port};
+}
+
+}  // namespace
+
+PeerLink::PeerLink(runtime::Duty& duty, const PeerLinkSettings& settings,
+                   PeerOutputs outputs, telemetry::Metrics& metrics)
+    : context_(duty.context()),
+      settings_(settings),
+      outputs_(outputs),
+      metrics_(metrics),
+      members_(settings.members, settings.self),
+      planner_(settings.ownership, settings.self.id, settings.self.peer,
+               settings.incarnation),
+      udp_(context_, ToEndpointOf<udp::endpoint>(settings.listen)),
+      acceptor_(context_, ToEndpointOf<tcp::endpoint>(settings.listen)),
+      beat_timer_(context_),
+      view_timer_(context_) {}
+
+void PeerLink::Start() {
+  asio::co_spawn(context_, AcceptPeers(), asio::detached);
+  asio::co_spawn(context_, ReceiveHeartbeats(), asio::detached);
+  Beat();
+}
+
+void PeerLink::Handle(ToPeer message) {
+  std::visit([this](auto&& alternative) { On(std::move(alternative)); },
+             std::move(message));
+}
+
+void PeerLink::On(const ListReceived& message) {
+  members_.ApplyList(message.instances, runtime::SteadyNow());
+  MarkViewDirty();
+}
+
+void PeerLink::On(CellsReported message) {
+  const bool changed = message.cells.size() != owned_.size();
+  owned_ = std::move(message.cells);
+  if (changed) Beat();
+}
+
+void PeerLink::On(const CellsChanged& message) {
+  cell_ids_.clear();
+  for (const auto& cell : *message.cells) cell_ids_.push_back(cell.id);
+  PlanOwnership();
+}
+
+void PeerLink::On(const ConfigurationChanged& message) {
+  if (message.configuration->revision == revision_) return;
+  revision_ = message.configuration->revision;
+  Beat();  // Peers hear of the revision at once and pull it.
+}
+
+void PeerLink::On(const LeaveSite&) {
+  leaving_ = true;
+  planner_.BeginLeave();
+  Beat();
+}
+
+// Heartbeats.
+
+void PeerLink::Beat() {
+  membership::Heartbeat heartbeat;
+  heartbeat.instance = settings_.self.id;
+  heartbeat.incarnation = settings_.incarnation;
+  heartbeat.sequence = ++sequence_;
+  heartbeat.data_centre = settings_.self.data_centre;
+  heartbeat.caller = settings_.self.caller;
+  heartbeat.peer = settings_.self.peer;
+  heartbeat.leaving = leaving_;
+  heartbeat.revision = revision_;
+  heartbeat.cells = owned_;
+  const TimePoint now = runtime::SteadyNow();
+  members_.Observe(heartbeat, now);
+  const std::string bytes = protocol::Encode(heartbeat);
+  for (const membership::Peer& peer : members_.Peers(now)) {
+    boost::system::error_code ignored;  // A lost heartbeat is an ordinary one.
+    udp_.send_to(asio::buffer(bytes), ToEndpointOf<udp::endpoint>(peer.address),
+                 0, ignored);
+  }
+  PlanOwnership();
+  PublishView();
+  ArmBeat();
+}
+
+void PeerLink::ArmBeat() {
+  beat_timer_.expires_after(settings_.heartbeat_interval);
+  beat_timer_.async_wait([this](const boost::system::error_code& error) {
+    if (!error) Beat();
+  });
+}
+
+asio::awaitable<void> PeerLink::ReceiveHeartbeats() {
+  std::vector<char> buffer(protocol::kMaxDatagramBytes);
+  while (true) {
+    udp::endpoint sender;
+    boost::system::error_code error;
+    const std::size_t size = co_await udp_.async_receive_from(
+        asio::buffer(buffer), sender,
+        asio::redirect_error(asio::use_awaitable, error));
+    if (error == asio::error::operation_aborted) co_return;
+    if (error) continue;
+    try {
+      OnHeartbeat(protocol::DecodeHeartbeat({buffer.data(), size}));
+    } catch (const Error&) {
+      metrics_.Count(telemetry::Counter::kPeerMessagesDropped);
+    }
+  }
+}
+
+void PeerLink::OnHeartbeat(const membership::Heartbeat& heartbeat) {
+  if (heartbeat.instance == settings_.self.id) return;
+  if (!members_.Observe(heartbeat, runtime::SteadyNow())) return;
+  MarkViewDirty();
+  PullNotes(heartbeat);
+}
+
+void PeerLink::PullNotes(const membership::Heartbeat& heartbeat) {
+  const TimePoint now = runtime::SteadyNow();
+  if (heartbeat.revision <= revision_ || now - last_pull_ < kPullInterval) {
+    return;
+  }
+  last_pull_ = now;
+  Outbound* outbound = OutboundTo(heartbeat.instance);
+  if (outbound == nullptr) return;
+  outbound->connection->Send(protocol::NotesRequest{revision_});
+}
+
+// View and ownership.
+
+void PeerLink::MarkViewDirty() {
+  if (std::exchange(view_dirty_, true)) return;
+  view_timer_.expires_after(kViewDelay);
+  view_timer_.async_wait([this](const boost::system::error_code& error) {
+    if (!error && view_dirty_) PublishView();
+  });
+}
+
+void PeerLink::PublishView() {
+  view_dirty_ = false;
+  auto view = std::make_shared<const membership::View>(
+      members_.ViewAt(runtime::SteadyNow()));
+  CloseSuspected(*view);
+  outputs_.front.Send(ViewChanged{std::move(view)});
+}
+
+void PeerLink::PlanOwnership() {
+  const TimePoint now = runtime::SteadyNow();
+  const membership::View view = members_.ViewAt(now);
+  Perform(planner_.Plan(view, cell_ids_, now));
+}
+
+void PeerLink::Perform(
+    const std::vector<membership::OwnershipAction>& actions) {
+  for (const membership::OwnershipAction& action : actions) {
+    std::visit(Overloaded{
+                   [&](const membership::YieldCell& yield) {
+                     outputs_.decider.Send(HandoverCell{yield.cell});
+                   },
+                   [&](const membership::DropCell& drop) {
+                     Drop(drop.cell, drop.epoch, Reason::kStaleEpoch);
+                   },
+                   [&](const membership::ReleaseCell& release) {
+                     releasing_[release.cell] = release.row.epoch;
+                     outputs_.platform.Send(OwnershipRequested{release});
+                   },
+                   [&](const auto& store_action) {
+                     outputs_.platform.Send(OwnershipRequested{store_action});
+                   },
+               },
+               action);
+  }
+  held_ = planner_.held().size();
+}
+
+void PeerLink::Drop(const CellId& cell, Epoch epoch, Reason reason) {
+  outputs_.decider.Send(CellLost{cell, epoch, reason});
+  outputs_.platform.Send(JournalClosed{cell, epoch});
+}
+
+void PeerLink::On(const OwnershipAnswer& message) {
+  const TimePoint now = runtime::SteadyNow();
+  std::visit(Overloaded{
+                 [&](const RowWasRead& read) {
+                   Perform(planner_.RowRead(read.cell, read.row, now));
+                 },
+                 [&](const WriteWasCommitted& committed) {
+                   planner_.WriteCommitted(committed.cell, committed.version,
+                                           now);
+                 },
+                 [&](const WriteConflicted& conflicted) {
+                   Perform(planner_.WriteConflicted(conflicted.cell,
+                                                    conflicted.present, now));
+                 },
+                 [&](const WriteIsUnknown& unknown) {
+                   planner_.WriteUnknown(unknown.cell, now);
+                 },
+                 [&](const StoreFailed& failed) {
+                   planner_.StoreFailed(failed.cell, now);
+                 },
+                 [&](const EpochRefused& refused) {
+                   Perform(planner_.EpochRefused(refused.cell, now));
+                 },
+                 [&](const HandoverFinished& finished) {
+                   planner_.HandoverFinished(finished.cell, now);
+                 },
+             },
+             message);
+  for (auto it = releasing_.begin(); it != releasing_.end();) {
+    if (planner_.held().contains(it->first)) {
+      ++it;
+      continue;
+    }
+    Drop(it->first, it->second, Reason::kShuttingDown);
+    telemetry::LogEvent(telemetry::Event::kHandoverFinished,
+                        {{"cell", it->first.value}});
+    it = releasing_.erase(it);
+  }
+  PlanOwnership();
+}
+
+// Forwarded calls, this instance asking.
+
+PeerLink::ConnectionPtr PeerLink::MakeConnection() {
+  PeerHandlers handlers;
+  handlers.on_message = [this](std::uint64_t connection,
+                               protocol::PeerMessage message) {
+    OnPeerMessage(connection, std::move(message));
+  };
+  handlers.on_closed = [this](std::uint64_t connection) {
+    OnClosed(connection);
+  };
+  return std::make_shared<PeerConnection>(context_, ++last_connection_,
+                                          std::move(handlers));
+}
+
+PeerLink::Outbound* PeerLink::OutboundTo(const InstanceId& instance) {
+  Outbound& outbound = outbound_[instance];
+  if (outbound.connection != nullptr && !outbound.connection->closed()) {
+    return &outbound;
+  }
+  FailAwaiting(outbound);
+  const membership::View view = members_.ViewAt(runtime::SteadyNow());
+  const membership::Member* member = view.FindMember(instance);
+  if (member == nullptr) {
+    outbound_.erase(instance);
+    return nullptr;
+  }
+  outbound.connection = MakeConnection();
+  outbound.connection->Connect(member->peer, settings_.connect_timeout);
+  return &outbound;
+}
+
+void PeerLink::On(CallForwarded message) {
+  const std::uint64_t number = message.call.number;
+  Outbound* outbound = OutboundTo(message.owner);
+  if (outbound != nullptr &&
+      outbound->connection->Send(std::move(message.call))) {
+    outbound->awaiting.insert(number);
+    return;
+  }
+  Refusal refusal;
+  refusal.reason = Reason::kOwnerUnreachable;
+  outputs_.front.Send(CallReplied{number, refusal});
+}
+
+void PeerLink::On(const ForwardAbandoned& message) {
+  const auto found = outbound_.find(message.owner);
+  if (found == outbound_.end()) return;
+  if (found->second.awaiting.erase(message.number) == 0) return;
+  found->second.connection->Send(protocol::AbandonedCall{message.number});
+}
+
+void PeerLink::FailAwaiting(Outbound& outbound) {
+  const bool sent =
+      outbound.connection != nullptr && outbound.connection->ever_open();
+  for (const std::uint64_t number : std::exchange(outbound.awaiting, {})) {
+    Refusal refusal;
+    refusal.reason = Reason::kOwnerUnreachable;
+    refusal.verdict = sent ? Verdict::kMayHaveRun : Verdict::kNotRun;
+    outputs_.front.Send(CallReplied{number, refusal});
+  }
+}
+
+void PeerLink::CloseSuspected(const membership::View& view) {
+  for (auto& [instance, outbound] : outbound_) {
+    const membership::Member* member = view.FindMember(instance);
+    const bool gone = member == nullptr ||
+                      member->state == membership::MemberState::kSuspected;
+    // A cut link may stay open for minutes by itself.
+    if (gone && outbound.connection != nullptr) outbound.connection->Close();
+  }
+}
+
+// Forwarded calls, this instance asked.
+
+asio::awaitable<void> PeerLink::AcceptPeers() {
+  while (true) {
+    boost::system::error_code error;
+    tcp::socket socket = co_await acceptor_.async_accept(
+        asio::redirect_error(asio::use_awaitable, error));
+    if (error == asio::error::operation_aborted) co_return;
+    if (error) continue;
+    ConnectionPtr connection = MakeConnection();
+    inbound_[connection->number()] = connection;
+    connection->Adopt(std::move(socket));
+  }
+}
+
+void PeerLink::OnPeerMessage(std::uint64_t connection,
+                             protocol::PeerMessage message) {
+  std::visit(Overloaded{
+                 [&](protocol::ForwardedCall& call) {
+                   OnForwardedCall(connection, std::move(call));
+                 },
+                 [&](protocol::ForwardedReply& reply) {
+                   for (auto& [instance, outbound] : outbound_) {
+                     if (outbound.connection->number() != connection) continue;
+                     if (outbound.awaiting.erase(reply.number) == 0) return;
+                     outputs_.front.Send(
+                         CallReplied{reply.number, std::move(reply.reply)});
+                   }
+                 },
+                 [&](const protocol::AbandonedCall& abandoned) {
+                   // The cell is not named: the token is, and it is enough.
+                   for (const CellId& cell : cell_ids_) {
+                     outputs_.decider.Send(CellInput{
+                         cell, std::nullopt,
+                         cell::ForgetToken{{connection, abandoned.number}}});
+                   }
+                 },
+                 [&](const protocol::NotesRequest& request) {
+                   outputs_.platform.Send(
+                       PeerNotesRequested{connection, request.after});
+                 },
+                 [&](protocol::Notes& notes) {
+                   outputs_.platform.Send(NotesReceived{std::move(notes)});
+                 },
+             },
+             message);
+}
+
+void PeerLink::OnForwardedCall(std::uint64_t connection,
+                               protocol::ForwardedCall call) {
+  const cell::ReplyToken token{connection, call.number};
+  outputs_.decider.Send(
+      CellInput{call.cell, std::nullopt, ToInput(token, std::move(call.op))});
+}
+
+void PeerLink::On(PeerReplied message) {
+  const auto found = inbound_.find(message.token.origin);
+  if (found == inbound_.end()) return;  // The asker has gone or will ask again.
+  protocol::ForwardedReply reply{message.token.number,
+                                 std::move(message.reply)};
+  if (!found->second->Send(std::move(reply))) found->second->Close();
+}
+
+void PeerLink::On(PeerNotesFound message) {
+  const auto found = inbound_.find(message.connection);
+  if (found == inbound_.end()) return;
+  found->second->Send(std::move(message.notes));
+}
+
+void PeerLink::OnClosed(std::uint64_t connection) {
+  inbound_.erase(connection);
+  for (auto& [instance, outbound] : outbound_) {
+    if (outbound.connection != nullptr &&
+        outbound.connection->number() == connection) {
+      FailAwaiting(outbound);
+    }
+  }
+}
+
+}  // namespace jasminespar::daemon
--- /dev/null
+++ b/packages/daemon/src/platform_link.cc
@@ -0,0 +1,301 @@
+#include "jasminespar/daemon/platform_link.h"
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <utility>
+
+#include "jasminespar/core/error.h"
+#include "jasminespar/core/overloaded.h"
+#include "jasminespar/protocol/ownership_row.h"
+#include "jasminespar/telemetry/events.h"
+
+namespace jasminespar::daemon {
+
+namespace asio = boost::asio;
+
+namespace {
+
+std::string RowKey(const CellId& cell) { return "cell/" + cell.value; }
+
+membership::ListedInstance ToListed(const platform::ListedEntry& entry) {
+  return {entry.id, entry.data_centre, entry.caller, entry.peer, entry.state};
+}
+
+asio::awaitable<void> Sleep(asio::io_context& context, Duration span) {
+  asio::steady_timer timer(context, span);
+  boost::system::error_code ignored;
+  co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+}
+
+}  // namespace
+
+PlatformLink::PlatformLink(runtime::Duty& duty,
+                           const PlatformLinkSettings& settings,
+                           PlatformOutputs outputs, telemetry::Metrics& metrics)
+    : context_(duty.context()),
+      settings_(settings),
+      outputs_(outputs),
+      metrics_(metrics),
+      table_(context_, settings.platform, settings.request_timeout),
+      configuration_(
+          context_, table_, settings.configuration_poll_interval,
+          [this](ConfigurationPtr configuration) {
+            outputs_.front.Send(ConfigurationChanged{configuration});
+            outputs_.decider.Send(ConfigurationChanged{configuration});
+            outputs_.peer.Send(ConfigurationChanged{configuration});
+          },
+          metrics),
+      cells_(std::make_shared<std::vector<configuration::CellTopology>>()) {}
+
+void PlatformLink::Start() {
+  asio::co_spawn(context_, PollList(), asio::detached);
+  configuration_.Start();
+}
+
+void PlatformLink::Handle(ToPlatform message) {
+  std::visit([this](auto&& alternative) { On(std::move(alternative)); },
+             std::move(message));
+}
+
+// The platform's list.
+
+asio::awaitable<void> PlatformLink::PollList() {
+  while (true) {
+    try {
+      const platform::InstanceList list = co_await table_.List();
+      ApplyList(list);
+    } catch (const Error&) {
+      metrics_.Count(telemetry::Counter::kStoreErrors);
+    }
+    co_await Sleep(context_, settings_.list_poll_interval);
+  }
+}
+
+void PlatformLink::ApplyList(const platform::InstanceList& list) {
+  ListReceived received;
+  for (const platform::ListedEntry& entry : list.entries) {
+    received.instances.push_back(ToListed(entry));
+  }
+  outputs_.peer.Send(std::move(received));
+  if (list.workers == workers_) return;
+  workers_ = list.workers;
+  cells_ = std::make_shared<const std::vector<configuration::CellTopology>>(
+      configuration::GroupIntoCells(workers_, settings_.racks_per_cell));
+  configuration_.UseCells(cells_);
+  outputs_.front.Send(CellsChanged{cells_});
+  outputs_.decider.Send(CellsChanged{cells_});
+  outputs_.peer.Send(CellsChanged{cells_});
+}
+
+// Ownership rows.
+
+void PlatformLink::On(const OwnershipRequested& message) {
+  std::visit(
+      Overloaded{
+          [&](const membership::ReadRow& read) {
+            asio::co_spawn(context_, ReadOwnership(read.cell), asio::detached);
+          },
+          [&](const membership::ClaimCell& claim) {
+            claims_[claim.cell] = Claim{claim.row};
+            asio::co_spawn(context_,
+                           WriteOwnership(claim.row, claim.expected_version),
+                           asio::detached);
+          },
+          [&](const membership::ReleaseCell& release) {
+            asio::co_spawn(
+                context_, WriteOwnership(release.row, release.expected_version),
+                asio::detached);
+          },
+      },
+      message.action);
+}
+
+asio::awaitable<membership::VersionedRow> PlatformLink::FetchRow(CellId cell) {
+  std::vector<std::string> keys{RowKey(cell)};
+  const std::vector<platform::Row> rows = co_await table_.Read(std::move(keys));
+  membership::VersionedRow result;
+  result.row.cell = cell;
+  if (!rows.empty()) {
+    result.row = protocol::DecodeOwnershipRow(rows[0].value);
+    result.version = rows[0].version;
+  }
+  co_return result;
+}
+
+asio::awaitable<void> PlatformLink::ReadOwnership(CellId cell) {
+  try {
+    const membership::VersionedRow row = co_await FetchRow(cell);
+    NoteRow(row);
+    outputs_.peer.Send(OwnershipAnswer(RowWasRead{cell, row}));
+    co_return;
+  } catch (const Error&) {
+    metrics_.Count(telemetry::Counter::kStoreErrors);
+  }
+  outputs_.peer.Send(OwnershipAnswer(StoreFailed{cell}));
+}
+
+asio::awaitable<void> PlatformLink::WriteOwnership(
+    membership::OwnershipRow row, std::uint64_t expected_version) {
+  const CellId cell = row.cell;
+  platform::Transaction transaction;
+  transaction.id = cell.value + "/" + std::to_string(row.claim_id);
+  transaction.conditions.push_back({RowKey(cell), expected_version});
+  transaction.writes.push_back({RowKey(cell), protocol::Encode(row)});
+  std::optional<Verdict> failure;
+  try {
+    const platform::TransactionResult result =
+        co_await table_.Transact(std::move(transaction));
+    if (const auto* committed = std::get_if<platform::Committed>(&result)) {
+      membership::VersionedRow written{row, committed->versions.at(0)};
+      NoteRow(written);
+      outputs_.peer.Send(
+          OwnershipAnswer(WriteWasCommitted{cell, written.version}));
+      co_return;
+    }
+    const membership::VersionedRow present = co_await FetchRow(cell);
+    NoteRow(present);
+    outputs_.peer.Send(OwnershipAnswer(WriteConflicted{cell, present}));
+    co_return;
+  } catch (const Error& error) {
+    failure = error.verdict();
+  }
+  metrics_.Count(telemetry::Counter::kStoreErrors);
+  if (*failure == Verdict::kNotRun) {
+    outputs_.peer.Send(OwnershipAnswer(StoreFailed{cell}));
+  } else {
+    outputs_.peer.Send(OwnershipAnswer(WriteIsUnknown{cell}));
+  }
+}
+
+// A claim may be found won by its own answer or by a later read.
+void PlatformLink::NoteRow(const membership::VersionedRow& row) {
+  const auto claim = claims_.find(row.row.cell);
+  if (claim == claims_.end() || claim->second.row != row.row) return;
+  claims_.erase(claim);
+  OpenJournal(row.row, row.version);
+}
+
+// Journals.
+
+void PlatformLink::OpenJournal(const membership::OwnershipRow& row,
+                               std::uint64_t version) {
+  metrics_.Count(telemetry::Counter::kCellsClaimed);
+  telemetry::LogEvent(
+      telemetry::Event::kCellClaimed,
+      {{"cell", row.cell.value}, {"epoch", std::to_string(row.epoch.durable)}});
+  JournalFence fence{row.cell, row.epoch, RowKey(row.cell), version};
+  auto journal = std::make_shared<CellJournal>(
+      context_, table_, std::move(fence), settings_.journal,
+      HandlersFor(row.cell, row.epoch), metrics_);
+  OpenJournalEntry& entry = journals_[row.cell];
+  if (entry.journal != nullptr) entry.journal->Close();
+  entry = {row.epoch, journal};
+  ShareBudget();
+  journal->Start();
+}
+
+JournalHandlers PlatformLink::HandlersFor(const CellId& cell, Epoch epoch) {
+  JournalHandlers handlers;
+  handlers.on_recovered = [this, cell, epoch](cell::RecoveredState state) {
+    outputs_.decider.Send(CellClaimed{cell, epoch, std::move(state)});
+  };
+  handlers.on_durable = [this, cell, epoch](Sequence through) {
+    outputs_.decider.Send(
+        CellInput{cell, epoch, cell::JournalDurable{through}});
+  };
+  handlers.on_snapshot_wanted = [this, cell, epoch] {
+    outputs_.decider.Send(SnapshotWanted{cell, epoch});
+  };
+  handlers.on_fenced = [this, cell, epoch] {
+    outputs_.decider.Send(CellLost{cell, epoch, Reason::kStaleEpoch});
+    outputs_.peer.Send(OwnershipAnswer(EpochRefused{cell}));
+  };
+  handlers.on_finished = [this, cell] {
+    outputs_.peer.Send(OwnershipAnswer(HandoverFinished{cell}));
+  };
+  handlers.on_store = [cell](bool available) {
+    telemetry::LogEvent(available ? telemetry::Event::kStoreBack
+                                  : telemetry::Event::kStoreUnavailable,
+                        {{"cell", cell.value}});
+  };
+  return handlers;
+}
+
+CellJournal* PlatformLink::JournalOf(const CellId& cell, Epoch epoch) {
+  const auto found = journals_.find(cell);
+  if (found == journals_.end() || found->second.epoch != epoch) return nullptr;
+  return found->second.journal.get();
+}
+
+void PlatformLink::On(JournalAppended message) {
+  CellJournal* journal = JournalOf(message.cell, message.epoch);
+  if (journal != nullptr) journal->Append(std::move(message.append));
+}
+
+void PlatformLink::On(SnapshotTaken message) {
+  CellJournal* journal = JournalOf(message.cell, message.epoch);
+  if (journal != nullptr) journal->TakeSnapshot(std::move(message.records));
+}
+
+void PlatformLink::On(const CellReleased& message) {
+  CellJournal* journal = JournalOf(message.cell, message.epoch);
+  if (journal != nullptr) journal->Finish();
+}
+
+void PlatformLink::On(const JournalClosed& message) {
+  CellJournal* journal = JournalOf(message.cell, message.epoch);
+  if (journal == nullptr) return;
+  journal->Close();
+  journals_.erase(message.cell);
+  ShareBudget();
+}
+
+void PlatformLink::On(const OwnersCounted& message) {
+  owners_ = std::max(message.owners, 1U);
+  ShareBudget();
+}
+
+// The budget is the whole site's: each owner takes an equal share, and splits
+// it over its journals.
+void PlatformLink::ShareBudget() {
+  const std::size_t writers =
+      owners_ * std::max<std::size_t>(journals_.size(), 1);
+  const Duration interval(Duration(1s).count() *
+                          static_cast<Duration::rep>(writers) /
+                          std::max(settings_.journal_write_budget, 1U));
+  for (auto& [cell, entry] : journals_) {
+    entry.journal->SetWriteInterval(interval);
+  }
+}
+
+// Release notes.
+
+void PlatformLink::On(NoteSubmitted message) {
+  const std::uint64_t number = message.number;
+  configuration_.Submit(std::move(message.text), message.check_only,
+                        [this, number](NoteAnswered answer) {
+                          answer.number = number;
+                          outputs_.front.Send(std::move(answer));
+                        });
+}
+
+void PlatformLink::On(const NotesListed& message) {
+  NoteAnswered answer = configuration_.ListAfter(message.after);
+  answer.number = message.number;
+  outputs_.front.Send(std::move(answer));
+}
+
+void PlatformLink::On(const NotesReceived& message) {
+  configuration_.Receive(message.notes);
+}
+
+void PlatformLink::On(const PeerNotesRequested& message) {
+  outputs_.peer.Send(PeerNotesFound{message.connection,
+                                    configuration_.NotesAfter(message.after)});
+}
+
+}  // namespace jasminespar::daemon
--- /dev/null
+++ b/packages/front/src/call_codec.cc
@@ -0,0 +1,215 @@
+#include "jasminespar/front/call_codec.h"
+
+#include <algorithm>
+#include <charconv>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <utility>
+
+#include "jasminespar/core/overloaded.h"
+
+namespace jasminespar::front {
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr int kAccepted = 202;
+
+Refusal Malformed(std::string detail) {
+  Refusal refusal;
+  refusal.reason = Reason::kMalformedRequest;
+  refusal.detail = std::move(detail);
+  return refusal;
+}
+
+Refusal RefuseFor(Reason reason, std::string detail) {
+  Refusal refusal;
+  refusal.reason = reason;
+  refusal.detail = std::move(detail);
+  return refusal;
+}
+
+/// Reads headers one by one and keeps the first fault.
+class HeaderReader {
+ public:
+  explicit HeaderReader(const std::vector<http::Header>& headers)
+      : headers_(headers) {}
+
+  [[nodiscard]] std::string_view Text(std::string_view name) const {
+    return http::HeaderOf(headers_, name);
+  }
+
+  [[nodiscard]] std::int64_t Number(std::string_view name, std::int64_t low,
+                                    std::int64_t high, std::int64_t absent) {
+    const std::string_view text = Text(name);
+    if (text.empty()) return absent;
+    std::int64_t value = 0;
+    const char* end = text.data() + text.size();
+    const auto result = std::from_chars(text.data(), end, value);
+    if (result.ec == std::errc() && result.ptr == end && value >= low &&
+        value <= high) {
+      return value;
+    }
+    Fail(std::string(name) + ": a number from " + std::to_string(low) + " to " +
+         std::to_string(high));
+    return absent;
+  }
+
+  template <typename Table, typename Enum>
+  [[nodiscard]] Enum Name(std::string_view name, const Table& table,
+                          Enum absent) {
+    const std::string_view text = Text(name);
+    if (text.empty()) return absent;
+    if (const auto value = ParseName(table, text)) return *value;
+    std::string allowed;
+    for (const auto& row : table) allowed += " " + std::string(row.name);
+    Fail(std::string(name) + ": one of" + allowed);
+    return absent;
+  }
+
+  void Fail(std::string detail) {
+    if (!fault_) fault_ = Malformed(std::move(detail));
+  }
+
+  [[nodiscard]] const std::optional<Refusal>& fault() const { return fault_; }
+
+ private:
+  const std::vector<http::Header>& headers_;
+  std::optional<Refusal> fault_;
+};
+
+bool IsVisible(std::string_view text) {
+  return std::all_of(text.begin(), text.end(),
+                     [](char c) { return c > ' ' && c <= '~'; });
+}
+
+std::optional<Refusal> CheckKey(std::string_view key) {
+  if (key.empty()) return RefuseFor(Reason::kMissingIdempotencyKey, "");
+  if (key.size() <= kMaxKeyLength && IsVisible(key)) return std::nullopt;
+  return Malformed("Idempotency-Key: 1 to " + std::to_string(kMaxKeyLength) +
+                   " visible characters");
+}
+
+bool PrefersAsync(std::string_view prefer) {
+  return prefer.find("respond-async") != std::string_view::npos;
+}
+
+std::string RetryAfterSeconds(Duration span) {
+  return std::to_string(std::chrono::ceil<std::chrono::seconds>(span).count());
+}
+
+http::Response MakeJson(int status, const Json& json, const char* type) {
+  http::Response response;
+  response.status = status;
+  response.headers.push_back({"Content-Type", type});
+  // Text from callers may hold any bytes; invalid UTF-8 is replaced.
+  response.body = json.dump(-1, ' ', false, Json::error_handler_t::replace);
+  return response;
+}
+
+http::Response ToAccepted(const CallId& id, const Json& json) {
+  http::Response response = MakeJson(kAccepted, json, "application/json");
+  response.headers.push_back({"Location", "/v1/calls/" + ToString(id)});
+  return response;
+}
+
+}  // namespace
+
+std::variant<CallRequest, Refusal> ParseCallRequest(
+    http::Request request, const ServiceId& service,
+    const configuration::Configuration& configuration) {
+  HeaderReader reader(request.headers);
+  const auto found = configuration.services.find(service);
+  if (found == configuration.services.end()) {
+    return RefuseFor(Reason::kUnknownService, service.value);
+  }
+  CallRequest call;
+  call.key.service = service;
+  call.key.account.value = std::string(reader.Text("Jasminespar-Account"));
+  if (!configuration.accounts.contains(call.key.account)) {
+    return RefuseFor(Reason::kUnknownClientAccount, call.key.account.value);
+  }
+  call.key.idempotency_key = std::string(reader.Text("Idempotency-Key"));
+  if (auto refusal = CheckKey(call.key.idempotency_key)) return *refusal;
+  if (request.body.size() > found->second.max_body_bytes) {
+    return RefuseFor(Reason::kBodyTooLarge,
+                     std::to_string(found->second.max_body_bytes) + " bytes");
+  }
+  const std::string_view idempotent = reader.Text("Jasminespar-Idempotent");
+  if (idempotent == "false") {
+    call.idempotence = Idempotence::kNonIdempotent;
+  } else if (!idempotent.empty() && idempotent != "true") {
+    reader.Fail("Jasminespar-Idempotent: true or false");
+  }
+  if (PrefersAsync(reader.Text("Prefer"))) call.delivery = Delivery::kCollect;
+  call.priority =
+      reader.Name("Jasminespar-Priority", kPriorityNames, Priority::kNormal);
+  call.gang.accelerators = static_cast<int>(
+      reader.Number("Jasminespar-Accelerators", 1, kMaxGangAccelerators, 1));
+  call.gang.adjacency =
+      reader.Name("Jasminespar-Adjacency", kAdjacencyNames, Adjacency::kAny);
+  const std::int64_t longest = ToMilliseconds(kMaxDeadline);
+  call.time_left = std::chrono::milliseconds(
+      reader.Number("Jasminespar-Deadline-Ms", 1, longest,
+                    ToMilliseconds(found->second.default_deadline)));
+  call.declared_run_time = std::chrono::milliseconds(
+      reader.Number("Jasminespar-Run-Time-Ms", 0, longest, 0));
+  if (reader.fault()) return *reader.fault();
+  call.id = IdOf(call.key);
+  call.body = std::move(request.body);
+  return call;
+}
+
+http::Response ToResponse(const CallId& id, cell::CallReply reply) {
+  return std::visit(
+      Overloaded{
+          [&](Answer& answer) {
+            http::Response response;
+            response.status = answer.http_status;
+            response.headers.push_back({"Jasminespar-Call", ToString(id)});
+            response.headers.push_back(
+                {"Content-Type", "application/octet-stream"});
+            response.body = std::move(answer.body);
+            return response;
+          },
+          [&](Refusal& refusal) {
+            http::Response response = ToProblem(refusal);
+            response.headers.push_back({"Jasminespar-Call", ToString(id)});
+            return response;
+          },
+          [&](cell::CallStatus& status) {
+            return ToAccepted(
+                id,
+                Json{{"id", ToString(status.id)},
+                     {"state", RowOf(cell::kCallStateNames, status.state).name},
+                     {"attempt", status.attempt.value},
+                     {"explanation", status.explanation}});
+          },
+          [&](cell::CallAcceptedReply& accepted) {
+            return ToAccepted(id, Json{{"id", ToString(accepted.id)}});
+          },
+      },
+      reply);
+}
+
+http::Response ToProblem(const Refusal& refusal) {
+  const ReasonRow& row = RowOf(kReasons, refusal.reason);
+  Json json{{"type", "about:blank"},
+            {"title", row.help},
+            {"status", row.http_status},
+            {"reason", row.name},
+            {"verdict", NameOf(refusal.verdict)},
+            {"detail", refusal.detail}};
+  if (refusal.retry_after > Duration::zero()) {
+    json["retry_after_ms"] = ToMilliseconds(refusal.retry_after);
+  }
+  http::Response response =
+      MakeJson(row.http_status, json, "application/problem+json");
+  if (refusal.retry_after > Duration::zero()) {
+    response.headers.push_back(
+        {"Retry-After", RetryAfterSeconds(refusal.retry_after)});
+  }
+  return response;
+}
+
+}  // namespace jasminespar::front
--- /dev/null
+++ b/packages/protocol/src/encode.cc
@@ -0,0 +1,73 @@
+#include <sstream>
+
+#include "bounded_archive.h"
+#include "jasminespar/core/error.h"
+#include "serialization.h"
+
+namespace jasminespar::protocol {
+namespace {
+
+template <typename Value>
+std::string EncodeValue(const Value& value) {
+  std::ostringstream stream;
+  cereal::PortableBinaryOutputArchive archive(stream);
+  archive(value);
+  return std::move(stream).str();
+}
+
+template <typename Value>
+Value DecodeValue(std::string_view bytes) {
+  Value value;
+  std::size_t bytes_left = 0;
+  try {
+    BoundedInputArchive archive(bytes);
+    archive(value);
+    bytes_left = archive.bytes_left();
+  } catch (const std::exception& error) {
+    throw Error(Reason::kMalformedRequest, Verdict::kNotRun, error.what());
+  }
+  if (bytes_left > 0) {
+    throw Error(Reason::kMalformedRequest, Verdict::kNotRun, "bytes left over");
+  }
+  return value;
+}
+
+}  // namespace
+
+std::string Encode(const PeerMessage& message) { return EncodeValue(message); }
+PeerMessage DecodePeerMessage(std::string_view bytes) {
+  return DecodeValue<PeerMessage>(bytes);
+}
+
+std::string Encode(const membership::Heartbeat& heartbeat) {
+  return EncodeValue(heartbeat);
+}
+membership::Heartbeat DecodeHeartbeat(std::string_view bytes) {
+  return DecodeValue<membership::Heartbeat>(bytes);
+}
+
+std::string Encode(const JournalBatch& batch) { return EncodeValue(batch); }
+JournalBatch DecodeJournalBatch(std::string_view bytes) {
+  return DecodeValue<JournalBatch>(bytes);
+}
+
+std::string Encode(const SnapshotRow& row) { return EncodeValue(row); }
+SnapshotRow DecodeSnapshotRow(std::string_view bytes) {
+  return DecodeValue<SnapshotRow>(bytes);
+}
+
+std::string Encode(const std::vector<cell::JournalRecord>& records) {
+  return EncodeValue(records);
+}
+std::vector<cell::JournalRecord> DecodeRecords(std::string_view bytes) {
+  return DecodeValue<std::vector<cell::JournalRecord>>(bytes);
+}
+
+std::string Encode(const membership::OwnershipRow& row) {
+  return EncodeValue(row);
+}
+membership::OwnershipRow DecodeOwnershipRow(std::string_view bytes) {
+  return DecodeValue<membership::OwnershipRow>(bytes);
+}
+
+}  // namespace jasminespar::protocol
