--- a/packages/cell/include/jasminespar/cell/cell.h
+++ b/packages/cell/include/jasminespar/cell/cell.h
@@ -11,10 +11,30 @@
 #include <vector>
 
 #include "jasminespar/cell/messages.h"
+#include "jasminespar/core/name_table.h"
 #include "jasminespar/scheduling/scheduler.h"
 
 namespace jasminespar::cell {
 
+/// Rule that a test switches off to show that its loss is noticed.
+enum class Mutation : std::uint8_t {
+  kNone,
+  kOrderBeforeDurable,
+  kRetryUnknownNonIdempotent,
+  kReleaseBeforeAllHeld,
+};
+
+inline constexpr NameTable<Mutation, 4> kMutationNames{{
+    {Mutation::kNone, "none", "Every rule holds; the only one for use."},
+    {Mutation::kOrderBeforeDurable, "order_before_durable",
+     "Orders a non-idempotent attempt before its record is durable."},
+    {Mutation::kRetryUnknownNonIdempotent, "retry_unknown_non_idempotent",
+     "Runs a non-idempotent call again after an unknown attempt."},
+    {Mutation::kReleaseBeforeAllHeld, "release_before_all_held",
+     "Releases a gang when its first part is held."},
+}};
+static_assert(IsDense(kMutationNames));
+
 struct CellSettings {
   scheduling::PolicySettings policy;
   Duration hold = 3s;              ///< How long a prepared gang is held.
@@ -23,6 +43,8 @@
   std::uint32_t max_attempts = 4;  ///< Of one idempotent call.
   std::uint32_t max_live_calls = 200'000;
   Duration default_retention = 10min;
+  Duration orphan_grace = 30s;  ///< How long a found run waits for its caller.
+  Mutation mutation = Mutation::kNone;
 };
 
 /// What the owner read from the store when it claimed the cell.
--- /dev/null
+++ b/packages/cell/src/snapshot.h
@@ -0,0 +1,19 @@
+/// @file
+/// Records that rebuild a cell without its journal.
+
+#ifndef JASMINESPAR_CELL_SNAPSHOT_H_
+#define JASMINESPAR_CELL_SNAPSHOT_H_
+
+#include <vector>
+
+#include "context.h"
+
+namespace jasminespar::cell {
+
+/// @return records whose replay gives what the journal of the context gives.
+[[nodiscard]] std::vector<JournalRecord> SnapshotRecords(
+    const Context& context);
+
+}  // namespace jasminespar::cell
+
+#endif  // JASMINESPAR_CELL_SNAPSHOT_H_
--- /dev/null
+++ b/packages/cell/src/worker_table.cc
@@ -0,0 +1,178 @@
+#include "worker_table.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "invariant.h"
+#include "timer_queue.h"
+
+namespace jasminespar::cell {
+namespace {
+
+constexpr Duration kSuspension = 1s;
+
+}  // namespace
+
+WorkerTable::WorkerTable(configuration::CellTopology topology, Duration lease)
+    : lease_(lease) {
+  ApplyTopology(std::move(topology), TimePoint{});
+}
+
+WorkerTable::Entry* WorkerTable::Find(WorkerId worker) {
+  const auto found = entries_.find(worker);
+  return found == entries_.end() ? nullptr : &found->second;
+}
+
+void WorkerTable::ApplyTopology(configuration::CellTopology topology,
+                                TimePoint now) {
+  cell_ = std::move(topology.id);
+  std::map<WorkerId, Entry> entries;
+  order_.clear();
+  for (configuration::Worker& worker : topology.workers) {
+    const WorkerId id = worker.id;
+    Entry entry;
+    if (const Entry* known = Find(id)) entry = *known;
+    entry.worker = std::move(worker);
+    entries.emplace(id, std::move(entry));
+    order_.push_back(id);
+    unlisted_.erase(id);
+  }
+  for (const auto& [id, masks] : occupied_) {
+    if (!entries.contains(id)) unlisted_.emplace(id, now);
+  }
+  entries_ = std::move(entries);
+  changed_ = true;
+}
+
+void WorkerTable::MarkReported(WorkerId worker, bool leaving) {
+  Entry* entry = Find(worker);
+  if (entry == nullptr) return;
+  changed_ |= !entry->reported || entry->leaving != leaving;
+  entry->reported = true;
+  entry->leaving = leaving;
+}
+
+void WorkerTable::MarkLapsed(WorkerId worker) {
+  Entry* entry = Find(worker);
+  if (entry == nullptr) return;
+  changed_ |= entry->reported;
+  entry->reported = false;
+}
+
+void WorkerTable::MarkLeaving(WorkerId worker) {
+  Entry* entry = Find(worker);
+  if (entry == nullptr) return;
+  changed_ |= !entry->leaving;
+  entry->leaving = true;
+}
+
+void WorkerTable::Suspend(WorkerId worker, TimePoint now) {
+  Entry* entry = Find(worker);
+  if (entry == nullptr) return;
+  entry->suspended_until = now + kSuspension;
+  changed_ = true;
+}
+
+void WorkerTable::SetStrays(WorkerId worker, bool has_strays) {
+  Entry* entry = Find(worker);
+  if (entry == nullptr) return;
+  changed_ |= entry->strays != has_strays;
+  entry->strays = has_strays;
+}
+
+std::optional<configuration::CellTopology> WorkerTable::TakeUsable(
+    TimePoint now) {
+  for (auto& [id, entry] : entries_) {
+    if (!entry.suspended_until || *entry.suspended_until > now) continue;
+    entry.suspended_until.reset();
+    changed_ = true;
+  }
+  if (!changed_) return std::nullopt;
+  changed_ = false;
+  configuration::CellTopology usable{cell_, {}};
+  for (const WorkerId id : order_) {
+    const Entry& entry = entries_.at(id);
+    configuration::Worker worker = entry.worker;
+    const bool blocked = !entry.reported || entry.leaving || entry.strays ||
+                         entry.suspended_until;
+    if (blocked && worker.state == configuration::MachineState::kLive) {
+      worker.state = configuration::MachineState::kLeaving;
+    }
+    usable.workers.push_back(std::move(worker));
+  }
+  return usable;
+}
+
+std::vector<WorkerId> WorkerTable::TakeLapsed(TimePoint now) {
+  std::vector<WorkerId> lapsed;
+  for (const auto& [id, since] : unlisted_) {
+    if (now - since >= lease_) lapsed.push_back(id);
+  }
+  for (const WorkerId id : lapsed) unlisted_.erase(id);
+  return lapsed;
+}
+
+std::optional<TimePoint> WorkerTable::next_wake() const {
+  std::optional<TimePoint> next;
+  for (const auto& [id, since] : unlisted_)
+    next = Earlier(next, since + lease_);
+  for (const auto& [id, entry] : entries_) {
+    next = Earlier(next, entry.suspended_until);
+  }
+  return next;
+}
+
+bool WorkerTable::IsListed(WorkerId worker) const {
+  return entries_.contains(worker);
+}
+
+bool WorkerTable::HasReported(WorkerId worker) const {
+  const auto found = entries_.find(worker);
+  return found != entries_.end() && found->second.reported;
+}
+
+bool WorkerTable::AllReported() const {
+  return std::all_of(entries_.begin(), entries_.end(), [](const auto& entry) {
+    return entry.second.reported ||
+           entry.second.worker.state == configuration::MachineState::kGone;
+  });
+}
+
+void WorkerTable::Occupy(const CallId& call,
+                         const scheduling::Placement& placement) {
+  for (const scheduling::Allocation& part : placement.parts) {
+    Require(IsFree(part), "an accelerator is given to one call at a time");
+    occupied_[part.worker].emplace(call, part.accelerators);
+  }
+}
+
+void WorkerTable::Vacate(const CallId& call,
+                         const scheduling::Placement& placement) {
+  for (const scheduling::Allocation& part : placement.parts) {
+    const auto worker = occupied_.find(part.worker);
+    Require(worker != occupied_.end() && worker->second.erase(call) == 1,
+            "only occupied accelerators are given back");
+    if (!worker->second.empty()) continue;
+    occupied_.erase(worker);
+    unlisted_.erase(part.worker);
+  }
+}
+
+bool WorkerTable::IsFree(const scheduling::Allocation& allocation) const {
+  const auto worker = occupied_.find(allocation.worker);
+  if (worker == occupied_.end()) return true;
+  return std::none_of(worker->second.begin(), worker->second.end(),
+                      [&](const auto& held) {
+                        return (held.second & allocation.accelerators) != 0;
+                      });
+}
+
+std::vector<CallId> WorkerTable::CallsOn(WorkerId worker) const {
+  std::vector<CallId> calls;
+  const auto found = occupied_.find(worker);
+  if (found == occupied_.end()) return calls;
+  for (const auto& [call, mask] : found->second) calls.push_back(call);
+  return calls;
+}
+
+}  // namespace jasminespar::cell
