Compile release notes, split guarantees over cells, commit notes once

Cause: a release note is the single statement of intent: it must be checked as a whole, become one revision at most once and never revert. Values with units moved from settings to configuration. Before: only the plain configuration types. Conclusion: the deciding half of the release notes is complete; encoding and the store's side follow.

--- /dev/null
+++ b/packages/configuration/include/jasminespar/configuration/release_note.h
@@ -0,0 +1,47 @@
+/// @file
+/// What an operator adds, changes and withdraws in one step.
+
+#ifndef JASMINESPAR_CONFIGURATION_RELEASE_NOTE_H_
+#define JASMINESPAR_CONFIGURATION_RELEASE_NOTE_H_
+
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "jasminespar/configuration/configuration.h"
+#include "jasminespar/core/ids.h"
+
+namespace jasminespar::configuration {
+
+/// Chosen by the sender; tells its own note from another on the same base.
+using NoteId = TextId<struct NoteTag>;
+
+/// Changes to one kind of item. A changed item is given whole.
+template <typename Item, typename Id>
+struct Changes {
+  std::vector<Item> added;
+  std::vector<Item> changed;
+  std::vector<Id> withdrawn;
+  auto operator<=>(const Changes&) const = default;
+};
+
+struct ReleaseNote {
+  NoteId id;
+  Revision base;  ///< The note becomes revision base + 1, or nothing.
+  std::string title;
+  Changes<ClientAccount, ClientAccountId> accounts;
+  Changes<Service, ServiceId> services;
+  auto operator<=>(const ReleaseNote&) const = default;
+};
+
+/// Applies an accepted note without checking it again.
+/// @return the next revision, or nothing when the note has another base.
+[[nodiscard]] std::optional<Configuration> Apply(const Configuration& previous,
+                                                 const ReleaseNote& note);
+
+/// Sorts guarantees by level and drops those of count 0.
+void Normalise(ClientAccount& account);
+
+}  // namespace jasminespar::configuration
+
+#endif  // JASMINESPAR_CONFIGURATION_RELEASE_NOTE_H_
--- a/packages/settings/include/jasminespar/settings/setting_value.h
+++ b/packages/configuration/include/jasminespar/configuration/value_text.h
@@ -1,8 +1,8 @@
 /// @file
-/// Values of settings in their units, as text and as numbers.
+/// Values in their units, as operators write them in INI files.
 
-#ifndef JASMINESPAR_SETTINGS_SETTING_VALUE_H_
-#define JASMINESPAR_SETTINGS_SETTING_VALUE_H_
+#ifndef JASMINESPAR_CONFIGURATION_VALUE_TEXT_H_
+#define JASMINESPAR_CONFIGURATION_VALUE_TEXT_H_
 
 #include <cstdint>
 #include <optional>
@@ -11,7 +11,7 @@
 
 #include "jasminespar/core/name_table.h"
 
-namespace jasminespar::settings {
+namespace jasminespar::configuration {
 
 enum class Unit : std::uint8_t {
   kName,
@@ -47,9 +47,12 @@
 /// @return the shortest text that parses to the same number.
 [[nodiscard]] std::string FormatNumber(Unit unit, std::int64_t number);
 
+/// @return whether the text may name an instance, a client account and so on.
+[[nodiscard]] bool IsValidName(std::string_view text);
+
 /// @return whether the text may stand for a kName, kHost or kPath.
 [[nodiscard]] bool IsValidText(Unit unit, std::string_view text);
 
-}  // namespace jasminespar::settings
+}  // namespace jasminespar::configuration
 
-#endif  // JASMINESPAR_SETTINGS_SETTING_VALUE_H_
+#endif  // JASMINESPAR_CONFIGURATION_VALUE_TEXT_H_
--- /dev/null
+++ b/packages/configuration/src/capacity.cc
@@ -0,0 +1,70 @@
+#include "jasminespar/configuration/capacity.h"
+
+#include <algorithm>
+#include <numeric>
+
+namespace jasminespar::configuration {
+
+namespace {
+
+constexpr std::size_t IndexOf(ShapeLevel level) {
+  return static_cast<std::size_t>(level);
+}
+
+constexpr int kPairSize = 2;
+constexpr int kQuadSize = 4;
+
+}  // namespace
+
+CellCapacity::CellCapacity(const CellTopology& topology) {
+  std::map<std::uint32_t, std::vector<int>> by_rack;
+  for (const Worker& worker : topology.workers) {
+    if (worker.state != MachineState::kLive) continue;
+    by_rack[worker.rack].push_back(worker.accelerators);
+  }
+  for (auto& [rack, sizes] : by_rack) racks_.push_back(std::move(sizes));
+  const auto size_of = [](const std::vector<int>& rack) {
+    return std::accumulate(rack.begin(), rack.end(), 0);
+  };
+  std::stable_sort(
+      racks_.begin(), racks_.end(),
+      [&](const auto& a, const auto& b) { return size_of(a) < size_of(b); });
+}
+
+const CellCapacity::Rest& CellCapacity::RestWithout(std::size_t racks) {
+  const auto [found, added] = rests_.try_emplace(racks);
+  Rest& rest = found->second;
+  if (!added) return rest;
+  std::vector<int> sizes;
+  for (std::size_t i = racks; i < racks_.size(); ++i) {
+    sizes.insert(sizes.end(), racks_[i].begin(), racks_[i].end());
+  }
+  std::sort(sizes.begin(), sizes.end());
+  rest.quads.resize(sizes.size() + 1);
+  rest.pairs.resize(sizes.size() + 1);
+  rest.accelerators.resize(sizes.size() + 1);
+  for (std::size_t i = sizes.size(); i-- > 0;) {
+    const auto size = static_cast<std::uint64_t>(sizes[i]);
+    rest.quads[i] = rest.quads[i + 1] + size / kQuadSize;
+    rest.pairs[i] = rest.pairs[i + 1] + size / kPairSize;
+    rest.accelerators[i] = rest.accelerators[i + 1] + size;
+  }
+  return rest;
+}
+
+bool CellCapacity::Fits(const ShapeCounts& counts) {
+  const std::uint64_t racks = counts[IndexOf(ShapeLevel::kRack)];
+  if (racks > racks_.size()) return false;
+  const Rest& rest = RestWithout(racks);
+  const std::uint64_t workers = counts[IndexOf(ShapeLevel::kWorker)];
+  if (workers >= rest.quads.size()) return false;
+  const std::uint64_t quads = counts[IndexOf(ShapeLevel::kQuad)];
+  const std::uint64_t pairs = counts[IndexOf(ShapeLevel::kPair)];
+  const std::uint64_t singles = counts[IndexOf(ShapeLevel::kAccelerator)];
+  return quads <= rest.quads[workers] &&
+         2 * quads + pairs <= rest.pairs[workers] &&
+         kQuadSize * quads + kPairSize * pairs + singles <=
+             rest.accelerators[workers];
+}
+
+}  // namespace jasminespar::configuration
--- a/packages/settings/src/setting_value.cc
+++ b/packages/configuration/src/value_text.cc
@@ -1,4 +1,4 @@
-#include "jasminespar/settings/setting_value.h"
+#include "jasminespar/configuration/value_text.h"
 
 #include <algorithm>
 #include <array>
@@ -6,7 +6,7 @@
 #include <limits>
 #include <span>
 
-namespace jasminespar::settings {
+namespace jasminespar::configuration {
 
 namespace {
 
@@ -41,12 +41,6 @@
          (c >= '0' && c <= '9') || c == '.' || c == '_' || c == '-';
 }
 
-bool IsName(std::string_view text) {
-  constexpr std::size_t kMaxNameBytes = 64;
-  return !text.empty() && text.size() <= kMaxNameBytes &&
-         std::all_of(text.begin(), text.end(), IsNameCharacter);
-}
-
 bool IsOctet(std::string_view text) {
   unsigned value = 0;
   const char* end = text.data() + text.size();
@@ -95,10 +89,16 @@
   return std::to_string(number / chosen->factor) + std::string(chosen->text);
 }
 
+bool IsValidName(std::string_view text) {
+  constexpr std::size_t kMaxNameBytes = 64;
+  return !text.empty() && text.size() <= kMaxNameBytes &&
+         std::all_of(text.begin(), text.end(), IsNameCharacter);
+}
+
 bool IsValidText(Unit unit, std::string_view text) {
   switch (unit) {
     case Unit::kName:
-      return IsName(text);
+      return IsValidName(text);
     case Unit::kHost:
       return IsIpv4(text);
     default:
@@ -106,4 +106,4 @@
   }
 }
 
-}  // namespace jasminespar::settings
+}  // namespace jasminespar::configuration
--- a/packages/settings/include/jasminespar/settings/settings_table.h
+++ b/packages/settings/include/jasminespar/settings/settings_table.h
@@ -11,8 +11,8 @@
 #include <string_view>
 #include <variant>
 
+#include "jasminespar/configuration/value_text.h"
 #include "jasminespar/settings/daemon_settings.h"
-#include "jasminespar/settings/setting_value.h"
 
 namespace jasminespar::settings {
 
@@ -34,7 +34,7 @@
 struct SettingRow {
   std::string_view section;
   std::string_view key;
-  Unit unit;
+  configuration::Unit unit;
   Presence presence;
   std::string_view default_text;  ///< Empty unless kDefaulted.
   Range range;                    ///< Of numeric units only.
--- a/packages/settings/src/daemon_settings.cc
+++ b/packages/settings/src/daemon_settings.cc
@@ -17,7 +17,9 @@
 /// Stores a text or number that was checked against its row.
 void Assign(DaemonSettings& settings, const SettingRow& row,
             const std::string& text) {
-  const auto number = [&] { return ParseNumber(row.unit, text).value(); };
+  const auto number = [&] {
+    return configuration::ParseNumber(row.unit, text).value();
+  };
   std::visit(
       Overloaded{
           [&](FieldOf<InstanceId> field) { field(settings).value = text; },
@@ -39,7 +41,7 @@
 /// The inverse of Assign.
 std::string TextOf(DaemonSettings& settings, const SettingRow& row) {
   const auto format = [&](std::int64_t number) {
-    return FormatNumber(row.unit, number);
+    return configuration::FormatNumber(row.unit, number);
   };
   return std::visit(
       Overloaded{
@@ -57,10 +59,12 @@
 
 /// @return what is wrong with the text of a row, or empty.
 std::string_view CheckText(const SettingRow& row, std::string_view text) {
-  if (!IsNumeric(row.unit)) {
-    return IsValidText(row.unit, text) ? "" : "not a valid value";
+  if (!configuration::IsNumeric(row.unit)) {
+    return configuration::IsValidText(row.unit, text) ? ""
+                                                      : "not a valid value";
   }
-  const std::optional<std::int64_t> number = ParseNumber(row.unit, text);
+  const std::optional<std::int64_t> number =
+      configuration::ParseNumber(row.unit, text);
   if (!number) return "not a number of this unit";
   const bool inside = row.range.min <= *number && *number <= row.range.max;
   return inside ? "" : "out of range";
--- a/packages/settings/src/settings_table.cc
+++ b/packages/settings/src/settings_table.cc
@@ -14,7 +14,7 @@
 constexpr std::int64_t kH = 60 * kMin;
 
 using enum Presence;
-using enum Unit;
+using enum configuration::Unit;
 
 /// Short for the rows below.
 using Settings = DaemonSettings;
@@ -345,10 +345,10 @@
 std::span<const SettingRow> SettingRows() { return kSettingRows; }
 
 std::string AllowedOf(const SettingRow& row) {
-  if (!IsNumeric(row.unit))
-    return std::string(RowOf(kUnitNames, row.unit).help);
-  return FormatNumber(row.unit, row.range.min) + " to " +
-         FormatNumber(row.unit, row.range.max);
+  if (!configuration::IsNumeric(row.unit))
+    return std::string(RowOf(configuration::kUnitNames, row.unit).help);
+  return configuration::FormatNumber(row.unit, row.range.min) + " to " +
+         configuration::FormatNumber(row.unit, row.range.max);
 }
 
 }  // namespace jasminespar::settings
--- a/tests/settings/settings_test.cc
+++ b/tests/settings/settings_test.cc
@@ -9,6 +9,10 @@
 namespace jasminespar::settings {
 namespace {
 
+using configuration::FormatNumber;
+using configuration::IsNumeric;
+using configuration::ParseNumber;
+
 const std::string kMinimal =
     "[instance]\nid = a1\ndata_centre = dc-a\n"
     "[callers]\nhost = 127.0.0.1\nport = 8001\n"
