Add JSON of notes, configurations, shares, call states and problems

Cause: the front and jasminectl exchange these values; decisions must stay apart from their encoding. Ruled out: throwing on the first fault; sizes or depth of a hostile text reaching recursion (200,000 nested arrays are one fault). Change: package codec; each Parse function gives the value or every fault with its path. Unknown members are faults in what people write and ignored in what a newer instance wrote. Deadlines and retentions are whole milliseconds. Before: no encoding. Conclusion: front and jasminectl can share one codec.

--- /dev/null
+++ b/packages/codec/include/jasminespar/codec/configuration_json.h
@@ -0,0 +1,46 @@
+/// @file
+/// JSON of release notes, configurations and their split over cells.
+
+#ifndef JASMINESPAR_CODEC_CONFIGURATION_JSON_H_
+#define JASMINESPAR_CODEC_CONFIGURATION_JSON_H_
+
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "jasminespar/codec/parse_fault.h"
+#include "jasminespar/configuration/configuration.h"
+#include "jasminespar/configuration/release_note.h"
+#include "jasminespar/core/ids.h"
+
+namespace jasminespar::codec {
+
+/// Shares by cell, as Split gives them.
+using CellShares = std::map<CellId, configuration::CellShare>;
+
+// Each Parse function accepts any bytes and never throws. Ranges are left to
+// configuration::Compile.
+
+[[nodiscard]] std::string EncodeNote(const configuration::ReleaseNote& note);
+[[nodiscard]] Parsed<configuration::ReleaseNote> ParseNote(
+    std::string_view text, UnknownMembers unknown = UnknownMembers::kFault);
+
+/// @return {"notes": [...]}.
+[[nodiscard]] std::string EncodeNotes(
+    const std::vector<configuration::ReleaseNote>& notes);
+[[nodiscard]] Parsed<std::vector<configuration::ReleaseNote>> ParseNotes(
+    std::string_view text);
+
+[[nodiscard]] std::string EncodeConfiguration(
+    const configuration::Configuration& configuration);
+[[nodiscard]] Parsed<configuration::Configuration> ParseConfiguration(
+    std::string_view text);
+
+/// @return {"cells": [{"id", "revision", "accounts": [...]}]}.
+[[nodiscard]] std::string EncodeShares(const CellShares& shares);
+[[nodiscard]] Parsed<CellShares> ParseShares(std::string_view text);
+
+}  // namespace jasminespar::codec
+
+#endif  // JASMINESPAR_CODEC_CONFIGURATION_JSON_H_
--- /dev/null
+++ b/packages/codec/src/json_reader.cc
@@ -0,0 +1,127 @@
+#include "json_reader.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace jasminespar::codec {
+
+std::string Dump(const Json& json) {
+  return json.dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
+void FaultList::Add(std::string path, std::string message) {
+  if (faults_.size() >= kMaxParseFaults) return;
+  faults_.push_back({std::move(path), std::move(message)});
+}
+
+ObjectReader::ObjectReader(const Json& json, std::string path,
+                           FaultList& faults)
+    : path_(std::move(path)), faults_(faults) {
+  if (json.is_object()) {
+    object_ = &json;
+  } else {
+    faults_.Add(path_, "not an object");
+  }
+}
+
+std::string ObjectReader::PathOf(std::string_view name) const {
+  return path_.empty() ? std::string(name) : path_ + "." + std::string(name);
+}
+
+const Json* ObjectReader::Find(std::string_view name, Needed needed) {
+  asked_.push_back(name);
+  if (object_ == nullptr) return nullptr;
+  const auto found = object_->find(name);
+  if (found != object_->end()) return &*found;
+  if (needed == Needed::kRequired) faults_.Add(PathOf(name), "missing");
+  return nullptr;
+}
+
+void ObjectReader::Read(std::string_view name, Needed needed,
+                        std::string& target) {
+  const Json* member = Find(name, needed);
+  if (member == nullptr) return;
+  if (member->is_string()) {
+    target = member->get<std::string>();
+  } else {
+    faults_.Add(PathOf(name), "not a string");
+  }
+}
+
+void ObjectReader::Read(std::string_view name, Needed needed, double& target) {
+  const Json* member = Find(name, needed);
+  if (member == nullptr) return;
+  if (member->is_number() && std::isfinite(member->get<double>())) {
+    target = member->get<double>();
+  } else {
+    faults_.Add(PathOf(name), "not a number");
+  }
+}
+
+void ObjectReader::ReadUnsigned(std::string_view name, Needed needed,
+                                std::uint64_t max, std::uint64_t& target) {
+  const Json* member = Find(name, needed);
+  if (member == nullptr) return;
+  if (member->is_number_unsigned() && member->get<std::uint64_t>() <= max) {
+    target = member->get<std::uint64_t>();
+  } else {
+    faults_.Add(PathOf(name),
+                "not a whole number from 0 to " + std::to_string(max));
+  }
+}
+
+void ObjectReader::Read(std::string_view name, Needed needed,
+                        std::uint64_t& target) {
+  // A revision has a successor, so the largest number is left out.
+  ReadUnsigned(name, needed, std::numeric_limits<std::uint64_t>::max() - 1,
+               target);
+}
+
+void ObjectReader::Read(std::string_view name, Needed needed,
+                        std::uint32_t& target) {
+  std::uint64_t wide = target;
+  ReadUnsigned(name, needed, std::numeric_limits<std::uint32_t>::max(), wide);
+  target = static_cast<std::uint32_t>(wide);
+}
+
+void ObjectReader::ReadMilliseconds(std::string_view name, Needed needed,
+                                    Duration& target) {
+  constexpr std::uint64_t kMaxMilliseconds = 1'000'000'000'000;
+  std::uint64_t milliseconds = kMaxMilliseconds + 1;  // Marks "not read".
+  ReadUnsigned(name, needed, kMaxMilliseconds, milliseconds);
+  if (milliseconds > kMaxMilliseconds) return;
+  target = std::chrono::milliseconds(milliseconds);
+}
+
+void ObjectReader::ReadEach(
+    std::string_view name, Needed needed,
+    const std::function<void(const Json&, const std::string&)>& read) {
+  const Json* member = Find(name, needed);
+  if (member == nullptr) return;
+  if (!member->is_array()) {
+    faults_.Add(PathOf(name), "not an array");
+    return;
+  }
+  for (std::size_t i = 0; i < member->size(); ++i) {
+    read((*member)[i], PathOf(name) + "[" + std::to_string(i) + "]");
+  }
+}
+
+const Json* ObjectReader::FindObject(std::string_view name, Needed needed) {
+  const Json* member = Find(name, needed);
+  if (member == nullptr || member->is_object()) return member;
+  faults_.Add(PathOf(name), "not an object");
+  return nullptr;
+}
+
+void ObjectReader::Finish() {
+  if (object_ == nullptr || faults_.unknown() == UnknownMembers::kIgnore) {
+    return;
+  }
+  for (const auto& [name, value] : object_->items()) {
+    if (std::find(asked_.begin(), asked_.end(), name) != asked_.end()) continue;
+    faults_.Add(PathOf(name), "unknown member");
+  }
+}
+
+}  // namespace jasminespar::codec
--- a/packages/configuration/include/jasminespar/configuration/item_keys.h
+++ b/packages/configuration/include/jasminespar/configuration/item_keys.h
@@ -72,9 +72,11 @@
 inline constexpr std::array<KeyRow<ServiceKey>, 4> kServiceKeys{{
     {ServiceKey::kMaxBodyBytes, "max_body_bytes", "1B to 256MiB",
      "Longest body of a call; default 1MiB."},
-    {ServiceKey::kDefaultDeadline, "default_deadline", "1ms to 24h",
+    {ServiceKey::kDefaultDeadline, "default_deadline",
+     "1ms to 24h in whole milliseconds",
      "Deadline of a call that names none; default 60s."},
-    {ServiceKey::kAnswerRetention, "answer_retention", "1s to 168h",
+    {ServiceKey::kAnswerRetention, "answer_retention",
+     "1s to 168h in whole milliseconds",
      "How long outcomes are kept; default 10min."},
     {ServiceKey::kDataCentres, "data_centres",
      "names of data centres, with commas between",
--- a/packages/configuration/src/item_keys.cc
+++ b/packages/configuration/src/item_keys.cc
@@ -181,10 +181,12 @@
              service.max_body_bytes <= kMaxBodyBytesLimit;
     case ServiceKey::kDefaultDeadline:
       return service.default_deadline >= kMinDeadline &&
-             service.default_deadline <= kMaxDeadline;
+             service.default_deadline <= kMaxDeadline &&
+             service.default_deadline % 1ms == Duration::zero();
     case ServiceKey::kAnswerRetention:
       return service.answer_retention >= kMinRetention &&
-             service.answer_retention <= kMaxRetention;
+             service.answer_retention <= kMaxRetention &&
+             service.answer_retention % 1ms == Duration::zero();
     case ServiceKey::kDataCentres:
       break;
   }
--- a/tests/configuration/compile_test.cc
+++ b/tests/configuration/compile_test.cc
@@ -69,7 +69,8 @@
       "[change account x] does not exist",
       "[withdraw account y] does not exist",
       "[withdraw account a] the note names it more than once",
-      "[add service s] default_deadline: out of range; allowed: 1ms to 24h",
+      "[add service s] default_deadline: out of range; allowed: 1ms to 24h in "
+      "whole milliseconds",
       "[add service s] data_centres: no workers are listed in data centre "
       "nowhere",
       "[add account d] guarantee.pair: given more than once"};
