Add the site harness: plan, processes, faults and records

Cause: integration tests, the demo and the soak start real processes alike. Ruled out: one list by data centre; instances advertise one peer address, so a route for each instance is what a cut can act on. Change: SitePlan (pure but for free ports), Process (posix_spawn, ended with its owner), Site, blocking HttpExchange; the view ports are gone again. Conclusion: starts jasmined from apps/ once it is built.

--- a/packages/standins/include/jasminespar/standins/platform_service.h
+++ b/packages/standins/include/jasminespar/standins/platform_service.h
@@ -13,7 +13,6 @@
 #include <nlohmann/json.hpp>
 #include <random>
 #include <string>
-#include <vector>
 
 #include "jasminespar/core/time.h"
 #include "jasminespar/http/message.h"
@@ -29,9 +28,6 @@
   std::uint16_t port = 0;
   double writes_per_second = 300;  ///< Rows.
   double reads_per_second = 2000;  ///< Requests.
-  /// Further ports, each with a list of its own: `POST /admin/machines` there
-  /// sets what the clients of that port see.
-  std::vector<std::uint16_t> view_ports;
 };
 
 /// Use on one thread.
@@ -40,8 +36,8 @@
   PlatformService(boost::asio::io_context& context,
                   const PlatformSettings& settings);
 
-  void Start();
-  [[nodiscard]] std::uint16_t port() const { return servers_[0]->port(); }
+  void Start() { server_.Start(); }
+  [[nodiscard]] std::uint16_t port() const { return server_.port(); }
 
  private:
   struct Counters {
@@ -57,18 +53,15 @@
     nlohmann::json machines;
   };
 
-  boost::asio::awaitable<http::Response> Handle(http::Request request,
-                                                std::size_t view);
+  boost::asio::awaitable<http::Response> Handle(http::Request request);
   boost::asio::awaitable<void> Delay(Duration delay);
-  http::Response Perform(const http::Request& request, std::size_t view,
-                         TimePoint now);
+  http::Response Perform(const http::Request& request, TimePoint now);
   http::Response Transact(const http::Request& request, TimePoint now);
   http::Response Read(const http::Request& request, TimePoint now);
   http::Response Scan(const http::Request& request, TimePoint now);
   http::Response AccessObject(const http::Request& request, TimePoint now);
-  http::Response ListInstances(std::size_t view, TimePoint now);
-  http::Response Administer(const http::Request& request, std::size_t view,
-                            TimePoint now);
+  http::Response ListInstances(TimePoint now);
+  http::Response Administer(const http::Request& request, TimePoint now);
   http::Response Statistics() const;
   bool TakeRead(TimePoint now);
   bool TakeWrites(double rows, TimePoint now);
@@ -76,15 +69,14 @@
   boost::asio::io_context& context_;
   Table table_;
   std::map<std::string, std::string> objects_;
-  // By view; oldest first, the last is the truth.
-  std::vector<std::deque<ListVersion>> lists_;
+  std::deque<ListVersion> list_;  // Oldest first; the last is the truth.
   Duration list_lag_{};
   RateBudget writes_;
   RateBudget reads_;
   StoreFault fault_ = StoreOk{};
   std::mt19937_64 random_{1};
   Counters counters_;
-  std::vector<std::unique_ptr<http::Server>> servers_;  // By view.
+  http::Server server_;
 };
 
 }  // namespace jasminespar::standins
--- a/packages/standins/programs/standin_platform.cc
+++ b/packages/standins/programs/standin_platform.cc
@@ -17,9 +17,7 @@
       "writes", "rows a second",
       cxxopts::value<double>()->default_value("300"))(
       "reads", "requests a second",
-      cxxopts::value<double>()->default_value("2000"))(
-      "view-ports", "further ports, each with a list of its own",
-      cxxopts::value<std::vector<std::uint16_t>>())("help", "this text");
+      cxxopts::value<double>()->default_value("2000"))("help", "this text");
   const cxxopts::ParseResult arguments = options.parse(argc, argv);
   if (arguments.count("help") != 0) {
     std::cout << options.help();
@@ -29,10 +27,6 @@
   settings.port = arguments["port"].as<std::uint16_t>();
   settings.writes_per_second = arguments["writes"].as<double>();
   settings.reads_per_second = arguments["reads"].as<double>();
-  if (arguments.count("view-ports") != 0) {
-    settings.view_ports =
-        arguments["view-ports"].as<std::vector<std::uint16_t>>();
-  }
   jasminespar::runtime::Duty duty("platform");
   jasminespar::standins::PlatformService service(duty.context(), settings);
   service.Start();
--- a/packages/standins/src/platform_service.cc
+++ b/packages/standins/src/platform_service.cc
@@ -78,32 +78,21 @@
                                  const PlatformSettings& settings)
     : context_(context),
       writes_(settings.writes_per_second),
-      reads_(settings.reads_per_second) {
-  std::vector<std::uint16_t> ports = settings.view_ports;
-  ports.insert(ports.begin(), settings.port);
-  lists_.resize(ports.size());
-  for (std::size_t view = 0; view < ports.size(); ++view) {
-    servers_.push_back(std::make_unique<http::Server>(
-        context, settings.host, ports[view],
-        http::ServerLimits{.max_connections = kMaxConnections,
-                           .max_body_bytes = kMaxObjectBytes},
-        [this, view](http::Request request,
-                     std::shared_ptr<http::ConnectionState>) {
-          return Handle(std::move(request), view);
-        },
-        RejectionResponse));
-  }
-}
-
-void PlatformService::Start() {
-  for (const auto& server : servers_) server->Start();
-}
+      reads_(settings.reads_per_second),
+      server_(
+          context, settings.host, settings.port,
+          http::ServerLimits{.max_connections = kMaxConnections,
+                             .max_body_bytes = kMaxObjectBytes},
+          [this](http::Request request,
+                 std::shared_ptr<http::ConnectionState>) {
+            return Handle(std::move(request));
+          },
+          RejectionResponse) {}
 
-asio::awaitable<http::Response> PlatformService::Handle(http::Request request,
-                                                        std::size_t view) {
+asio::awaitable<http::Response> PlatformService::Handle(http::Request request) {
   const std::string_view path = http::PathOf(request.target);
   if (path.starts_with("/admin/")) {
-    co_return Administer(request, view, runtime::SteadyNow());
+    co_return Administer(request, runtime::SteadyNow());
   }
   if (std::holds_alternative<StoreDown>(fault_)) {
     ++counters_.refused;
@@ -117,7 +106,7 @@
     const Duration delay = slow->delay;
     co_await Delay(delay);
   }
-  http::Response response = Perform(request, view, runtime::SteadyNow());
+  http::Response response = Perform(request, runtime::SteadyNow());
   const auto* loses = std::get_if<StoreLosesAnswers>(&fault_);
   if (loses != nullptr &&
       std::bernoulli_distribution(loses->probability)(random_)) {
@@ -133,13 +122,13 @@
 }
 
 http::Response PlatformService::Perform(const http::Request& request,
-                                        std::size_t view, TimePoint now) {
+                                        TimePoint now) {
   const std::string_view path = http::PathOf(request.target);
   try {
     if (path == "/table/transact") return Transact(request, now);
     if (path == "/table/read") return Read(request, now);
     if (path == "/table/scan") return Scan(request, now);
-    if (path == "/instances") return ListInstances(view, now);
+    if (path == "/instances") return ListInstances(now);
     if (path.starts_with(kObjectsPath)) return AccessObject(request, now);
   } catch (const json::exception& error) {
     return JsonResponse(
@@ -230,26 +219,25 @@
   return response;
 }
 
-http::Response PlatformService::ListInstances(std::size_t view, TimePoint now) {
-  std::deque<ListVersion>& list = lists_[view];
-  while (list.size() > 1 && list[1].since + list_lag_ <= now) {
-    list.pop_front();
+http::Response PlatformService::ListInstances(TimePoint now) {
+  while (list_.size() > 1 && list_[1].since + list_lag_ <= now) {
+    list_.pop_front();
   }
-  if (list.empty()) {
+  if (list_.empty()) {
     return JsonResponse(
         200, {{"entries", json::array()}, {"workers", json::array()}});
   }
-  return JsonResponse(200, list.front().machines);
+  return JsonResponse(200, list_.front().machines);
 }
 
 http::Response PlatformService::Administer(const http::Request& request,
-                                           std::size_t view, TimePoint now) {
+                                           TimePoint now) {
   const std::string_view path = http::PathOf(request.target);
   if (path == "/admin/stats") return Statistics();
   const json body = json::parse(request.body, nullptr, false);
   if (!body.is_object()) return ReasonResponse(400, "malformed_request");
   if (path == "/admin/machines") {
-    lists_[view].push_back({now, body});
+    list_.push_back({now, body});
     return JsonResponse(200, json::object());
   }
   if (path == "/admin/list-lag") {
--- /dev/null
+++ b/packages/standins/src/site.cc
@@ -0,0 +1,217 @@
+#include "jasminespar/standins/site.h"
+
+#include <csignal>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <stdexcept>
+#include <thread>
+#include <utility>
+
+#include "jasminespar/runtime/clock.h"
+#include "jasminespar/standins/http_exchange.h"
+
+namespace jasminespar::standins {
+
+using nlohmann::json;
+
+namespace {
+
+constexpr Duration kAdminTimeout = 5s;
+constexpr Duration kPollInterval = 20ms;
+constexpr Duration kStartTimeout = 10s;
+
+std::string MakeFolder() {
+  std::string pattern =
+      (std::filesystem::temp_directory_path() / "jasminespar-site-XXXXXX")
+          .string();
+  if (mkdtemp(pattern.data()) == nullptr) {
+    throw std::runtime_error("cannot make a temporary folder");
+  }
+  return pattern;
+}
+
+/// Asks until the condition holds or the time is over.
+template <typename Condition>
+bool WaitUntil(Duration timeout, Condition condition) {
+  const TimePoint deadline = runtime::SteadyNow() + timeout;
+  while (!condition()) {
+    if (runtime::SteadyNow() >= deadline) return false;
+    std::this_thread::sleep_for(kPollInterval);
+  }
+  return true;
+}
+
+void Require(const std::optional<http::Response>& response,
+             const std::string& what) {
+  if (response && response->status == 200) return;
+  throw std::runtime_error(what + ": " +
+                           (response ? response->body : "no response"));
+}
+
+}  // namespace
+
+Site::Site(const SiteOptions& options)
+    : options_(options),
+      plan_(PlanSite(options.kind, FindFreePorts(PortsOf(options.kind)))),
+      folder_(MakeFolder()) {
+  StartStandins();
+}
+
+Site::~Site() {
+  instances_.clear();
+  standins_.clear();
+  std::error_code ignored;
+  if (!keep_folder_) std::filesystem::remove_all(folder_, ignored);
+}
+
+void Site::Start(const std::string& name,
+                 const std::vector<std::string>& arguments) {
+  standins_.emplace(name, Process(arguments, folder_ + "/" + name + ".log"));
+}
+
+void Site::StartStandins() {
+  const std::string programs = JASMINESPAR_BINARY_DIR "/standins/";
+  Start("platform", {programs + "standin_platform", "--port",
+                     std::to_string(plan_.platform_port)});
+  Start("proxy", {programs + "fault_proxy", "--admin-port",
+                  std::to_string(plan_.proxy_admin_port), "--seed",
+                  std::to_string(options_.seed)});
+  Start("workers",
+        {programs + "standin_workers", "--first-port",
+         std::to_string(plan_.workers.front().port), "--count",
+         std::to_string(plan_.workers.size()), "--first-id", "1",
+         "--accelerators", std::to_string(plan_.accelerators_per_worker),
+         "--lease-ms", std::to_string(ToMilliseconds(options_.worker_lease)),
+         std::string("--compare-epochs=") +
+             (options_.compare_epochs ? "true" : "false"),
+         "--admin-port", std::to_string(plan_.workers_admin_port)});
+  const bool up = WaitUntil(kStartTimeout, [this] {
+    return FetchJson(plan_.platform_port, "/admin/stats", kAdminTimeout) &&
+           FetchJson(plan_.proxy_admin_port, "/admin/stats", kAdminTimeout) &&
+           FetchJson(plan_.workers_admin_port, "/admin/runs", kAdminTimeout);
+  });
+  if (!up) throw std::runtime_error("the stand-ins did not start: " + folder_);
+  SetLeaving({});
+  Require(PostJson(plan_.proxy_admin_port, "/admin/routes", RoutesOf(plan_),
+                   kAdminTimeout),
+          "routes");
+}
+
+void Site::StartInstance(std::size_t index) {
+  const PlannedInstance& planned = plan_.instances.at(index);
+  const std::string base = folder_ + "/" + planned.id.value;
+  std::ofstream(base + ".ini") << SettingsOf(
+      planned, "[cells]\nworker_lease = " +
+                   std::to_string(ToMilliseconds(options_.worker_lease)) +
+                   "ms\n" + options_.extra_settings);
+  instances_.erase(index);
+  instances_.emplace(index, Process({JASMINESPAR_BINARY_DIR "/apps/jasmined",
+                                     "--settings", base + ".ini"},
+                                    base + ".log"));
+}
+
+void Site::StartAllInstances() {
+  for (std::size_t i = 0; i < plan_.instances.size(); ++i) StartInstance(i);
+}
+
+bool Site::WaitUntilReady(std::size_t index, Duration timeout) {
+  const std::uint16_t port = plan_.instances.at(index).caller_port;
+  return WaitUntil(timeout, [port] {
+    http::Request request;
+    request.target = "/readyz";
+    const auto response = Exchange(port, std::move(request), kAdminTimeout);
+    return response && response->status == 200;
+  });
+}
+
+bool Site::WaitUntilAllReady(Duration timeout) {
+  const TimePoint deadline = runtime::SteadyNow() + timeout;
+  for (const auto& [index, process] : instances_) {
+    if (!WaitUntilReady(index, deadline - runtime::SteadyNow())) return false;
+  }
+  return true;
+}
+
+Process& Site::instance(std::size_t index) { return instances_.at(index); }
+
+void Site::KillInstance(std::size_t index) {
+  instance(index).Signal(SIGKILL);
+  instance(index).WaitForEnd(kAdminTimeout);
+}
+
+std::optional<std::uint64_t> Site::ApplyReleaseNote(const json& note,
+                                                    std::string& fault) {
+  for (const PlannedInstance& planned : plan_.instances) {
+    const auto response =
+        PostJson(planned.caller_port, "/v1/release-notes", note, kAdminTimeout);
+    if (!response) continue;
+    const json body = json::parse(response->body, nullptr, false);
+    if (response->status == 200 && body.is_object()) {
+      return body.value("revision", std::uint64_t{0});
+    }
+    fault = response->body;
+  }
+  return std::nullopt;
+}
+
+bool Site::WaitForRevision(std::uint64_t revision, Duration timeout) {
+  const TimePoint deadline = runtime::SteadyNow() + timeout;
+  for (const auto& [index, process] : instances_) {
+    const std::uint16_t port = plan_.instances[index].caller_port;
+    const bool reached =
+        WaitUntil(deadline - runtime::SteadyNow(), [port, revision] {
+          const auto body = FetchJson(port, "/v1/configuration", kAdminTimeout);
+          return body && body->is_object() &&
+                 body->value("revision", std::uint64_t{0}) >= revision;
+        });
+    if (!reached) return false;
+  }
+  return true;
+}
+
+void Site::SetStoreFault(const json& fault) const {
+  Require(PostJson(plan_.platform_port, "/admin/faults", fault, kAdminTimeout),
+          "store fault");
+}
+
+void Site::SetListLag(Duration lag) const {
+  Require(PostJson(plan_.platform_port, "/admin/list-lag",
+                   {{"ms", ToMilliseconds(lag)}}, kAdminTimeout),
+          "list lag");
+}
+
+void Site::SetLinkFault(const std::string& prefix, json fault) const {
+  fault["route"] = prefix;
+  Require(
+      PostJson(plan_.proxy_admin_port, "/admin/faults", fault, kAdminTimeout),
+      "link fault");
+}
+
+void Site::SetWorkerFault(WorkerId worker, const json& fault) const {
+  const PlannedWorker& planned = plan_.workers.at(worker.value - 1);
+  Require(PostJson(planned.port, "/admin/faults", fault, kAdminTimeout),
+          "worker fault");
+}
+
+void Site::RestartWorker(WorkerId worker) const {
+  const PlannedWorker& planned = plan_.workers.at(worker.value - 1);
+  Require(
+      PostJson(planned.port, "/admin/restart", json::object(), kAdminTimeout),
+      "worker restart");
+}
+
+void Site::SetLeaving(const std::vector<WorkerId>& leaving) const {
+  Require(PostJson(plan_.platform_port, "/admin/machines",
+                   ListOf(plan_, leaving), kAdminTimeout),
+          "machines");
+}
+
+json Site::Runs() const {
+  const auto body =
+      FetchJson(plan_.workers_admin_port, "/admin/runs", 4 * kAdminTimeout);
+  if (!body) throw std::runtime_error("the workers' records cannot be read");
+  return *body;
+}
+
+}  // namespace jasminespar::standins
