Add callers' load and the check of promises from outside

Cause: the demo, the soak and the integration tests judge callers' records against the workers' records. Ruled out: judging not_run for calls with an unanswered send; such a send may have been accepted. Change: PlanMix (seeded), Load (retries with the same key), CheckPromises. Conclusion: each promise's check is shown to fail on a made-up breach.

--- /dev/null
+++ b/packages/standins/include/jasminespar/standins/load.h
@@ -0,0 +1,82 @@
+/// @file
+/// Callers: send planned calls, retry as told and keep what they saw.
+
+#ifndef JASMINESPAR_STANDINS_LOAD_H_
+#define JASMINESPAR_STANDINS_LOAD_H_
+
+#include <atomic>
+#include <boost/asio/awaitable.hpp>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <random>
+#include <vector>
+
+#include "jasminespar/core/time.h"
+#include "jasminespar/http/client.h"
+#include "jasminespar/runtime/duty.h"
+#include "jasminespar/standins/call_record.h"
+#include "jasminespar/standins/load_plan.h"
+
+namespace jasminespar::standins {
+
+struct LoadSettings {
+  std::uint64_t seed = 1;
+  std::vector<std::uint16_t> caller_ports;  ///< Of every instance.
+  Duration send_timeout = 30s;  ///< Of one request; then the key is sent again.
+  Duration patience = 90s;      ///< From arrival until a caller gives up.
+};
+
+/// How far the load is; counts of calls.
+struct LoadProgress {
+  std::size_t ended = 0;
+  std::size_t answered = 0;
+  std::size_t planned = 0;
+};
+
+/// Runs on a duty of its own.
+class Load {
+ public:
+  Load(const LoadSettings& settings, std::vector<PlannedCall> calls);
+  ~Load();
+
+  Load(const Load&) = delete;
+  Load& operator=(const Load&) = delete;
+
+  void Start();
+
+  /// Callable from any thread.
+  [[nodiscard]] LoadProgress progress() const;
+
+  /// Waits until every call ended, then asks again for the outcome of up to
+  /// `recheck` answered calls and marks those that changed.
+  /// @return what the callers saw.
+  [[nodiscard]] std::vector<CallRecord> Finish(std::size_t recheck);
+
+ private:
+  /// How long to wait before the key is sent again; nothing once it ended.
+  using Pause = std::optional<Duration>;
+
+  boost::asio::awaitable<void> Run(CallRecord& record);
+  boost::asio::awaitable<Pause> SendOnce(CallRecord& record, TimePoint give_up);
+  boost::asio::awaitable<void> Recheck(CallRecord& record);
+  boost::asio::awaitable<void> Sleep(Duration time);
+  boost::asio::awaitable<bool> TrySend(CallRecord& record, Duration timeout,
+                                       http::Response& response);
+  Pause Judge(CallRecord& record, const http::Response& response);
+  void End(CallRecord& record, CallerOutcome outcome);
+
+  LoadSettings settings_;
+  std::vector<CallRecord> records_;
+  std::mt19937_64 random_;
+  std::atomic<std::size_t> ended_{0};
+  std::atomic<std::size_t> answered_{0};
+  std::atomic<std::size_t> rechecked_{0};
+  TimePoint start_;
+  runtime::Duty duty_;
+  std::vector<std::unique_ptr<http::Client>> clients_;
+};
+
+}  // namespace jasminespar::standins
+
+#endif  // JASMINESPAR_STANDINS_LOAD_H_
--- /dev/null
+++ b/packages/standins/include/jasminespar/standins/promises.h
@@ -0,0 +1,83 @@
+/// @file
+/// Checks what callers saw against what the workers recorded.
+
+#ifndef JASMINESPAR_STANDINS_PROMISES_H_
+#define JASMINESPAR_STANDINS_PROMISES_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "jasminespar/cell/task.h"
+#include "jasminespar/core/name_table.h"
+#include "jasminespar/core/time.h"
+#include "jasminespar/standins/call_record.h"
+
+namespace jasminespar::standins {
+
+enum class Promise : std::uint8_t {
+  kOneOutcome,
+  kOwnWholeAnswer,
+  kStableOutcome,
+  kNotRunTrue,
+  kAtMostOnce,
+  kAnswerRan,
+  kWholeGang,
+  kRevisionsRise,
+};
+
+inline constexpr NameTable<Promise, 8> kPromiseNames{{
+    {Promise::kOneOutcome, "one_outcome", "Every call ended in an outcome."},
+    {Promise::kOwnWholeAnswer, "own_whole_answer",
+     "Every response was the caller's own whole answer or a true refusal."},
+    {Promise::kStableOutcome, "stable_outcome",
+     "The key gave the same outcome when sent again."},
+    {Promise::kNotRunTrue, "not_run_true",
+     "Nothing started of a call whose every send was refused with not_run."},
+    {Promise::kAtMostOnce, "at_most_once",
+     "No part of a non-idempotent call started twice."},
+    {Promise::kAnswerRan, "answer_ran",
+     "Every answered call has a whole gang that ran to its end."},
+    {Promise::kWholeGang, "whole_gang",
+     "No part of an incomplete gang ran on past the workers' lease."},
+    {Promise::kRevisionsRise, "revisions_rise",
+     "No instance showed a lower revision than before."},
+}};
+static_assert(IsDense(kPromiseNames));
+
+struct Breach {
+  Promise promise = Promise::kOneOutcome;
+  std::string detail;
+};
+
+/// One start that a worker recorded.
+struct ObservedRun {
+  CallId call;
+  std::uint64_t attempt = 0;
+  std::uint64_t worker = 0;
+  std::uint32_t rank = 0;
+  std::uint32_t gang_workers = 1;
+  std::int64_t started_ms = 0;
+  std::optional<std::int64_t> ended_ms;
+  cell::TaskState state = cell::TaskState::kRunning;
+};
+
+/// @param body of `GET /admin/runs` of all workers.
+/// @throws nlohmann::json::exception when it is malformed.
+[[nodiscard]] std::vector<ObservedRun> ParseRuns(const nlohmann::json& body);
+
+/// @param partial_bound longest that a part of an incomplete gang may run.
+/// @return every breach; empty when all promises held.
+[[nodiscard]] std::vector<Breach> CheckPromises(
+    const std::vector<CallRecord>& records,
+    const std::vector<ObservedRun>& runs, Duration partial_bound);
+
+/// @return one line for each promise: held, or the breaches and the first.
+[[nodiscard]] std::string FormatVerdicts(const std::vector<Breach>& breaches);
+
+}  // namespace jasminespar::standins
+
+#endif  // JASMINESPAR_STANDINS_PROMISES_H_
--- /dev/null
+++ b/packages/standins/src/load_plan.cc
@@ -0,0 +1,108 @@
+#include "jasminespar/standins/load_plan.h"
+
+#include <algorithm>
+#include <random>
+
+namespace jasminespar::standins {
+
+namespace {
+
+/// One kind of call in the mix.
+struct CallClass {
+  double share = 0;
+  int accelerators = 1;
+  Adjacency adjacency = Adjacency::kAny;
+  std::int64_t min_run_ms = 0;
+  std::int64_t max_run_ms = 0;
+};
+
+constexpr CallClass kClasses[] = {
+    {0.75, 1, Adjacency::kAny, 20, 150},
+    {0.08, 2, Adjacency::kWorker, 100, 500},
+    {0.08, 4, Adjacency::kWorker, 100, 500},
+    {0.06, 8, Adjacency::kAny, 200, 800},
+    {0.03, 16, Adjacency::kRack, 300, 1000},
+};
+constexpr double kCrestSpan = 0.1;
+constexpr std::size_t kMaxExtraAnswerBytes = 4096;
+
+const CallClass& ClassAt(double position) {
+  for (const CallClass& entry : kClasses) {
+    if (position < entry.share) return entry;
+    position -= entry.share;
+  }
+  return kClasses[0];
+}
+
+/// Draws the parts of calls; the same seed gives the same mix.
+class MixMaker {
+ public:
+  explicit MixMaker(const MixSettings& settings)
+      : settings_(settings), random_(settings.seed) {}
+
+  PlannedCall Make(std::size_t number) {
+    const CallClass& entry = ClassAt(Draw());
+    PlannedCall call;
+    call.gang = {entry.accelerators, entry.adjacency};
+    call.directive.run_time =
+        std::chrono::milliseconds(Between(entry.min_run_ms, entry.max_run_ms));
+    if (Draw() < 0.1) call.directive.answer_bytes = kMaxExtraAnswerBytes;
+    if (Draw() < settings_.non_idempotent_share) {
+      call.idempotence = Idempotence::kNonIdempotent;
+    }
+    call.at = Draw() < settings_.crest_share ? CrestTime() : At(Draw());
+    Name(call, number);
+    return call;
+  }
+
+  PlannedCall MakeStraggler(std::size_t number) {
+    PlannedCall call;
+    call.gang = {8, Adjacency::kWorker};
+    call.directive.run_time = settings_.span / 2;
+    Name(call, number);
+    return call;
+  }
+
+ private:
+  double Draw() { return std::uniform_real_distribution<>(0, 1)(random_); }
+
+  std::int64_t Between(std::int64_t low, std::int64_t high) {
+    return std::uniform_int_distribution<std::int64_t>(low, high)(random_);
+  }
+
+  [[nodiscard]] Duration At(double share) const {
+    return std::chrono::duration_cast<Duration>(settings_.span * share);
+  }
+
+  Duration CrestTime() { return At(0.5 + kCrestSpan * Draw()); }
+
+  void Name(PlannedCall& call, std::size_t number) {
+    const std::string tag =
+        std::to_string(settings_.seed) + "-" + std::to_string(number);
+    call.key.account.value =
+        "account-" + std::to_string(Between(0, settings_.accounts - 1));
+    call.key.service.value = "match";
+    call.key.idempotency_key = "call-" + tag;
+    call.body = FormatTaskDirective(call.directive, tag);
+  }
+
+  MixSettings settings_;
+  std::mt19937_64 random_;
+};
+
+}  // namespace
+
+std::vector<PlannedCall> PlanMix(const MixSettings& settings) {
+  MixMaker maker(settings);
+  std::vector<PlannedCall> calls;
+  for (std::size_t i = 0; i < settings.calls; ++i) {
+    const bool straggler = settings.straggler && i == 0;
+    calls.push_back(straggler ? maker.MakeStraggler(i) : maker.Make(i));
+  }
+  std::stable_sort(
+      calls.begin(), calls.end(),
+      [](const PlannedCall& a, const PlannedCall& b) { return a.at < b.at; });
+  return calls;
+}
+
+}  // namespace jasminespar::standins
