Add the ownership planner, provisional ownership, routing, write budget and retry policy

Ruled out: lease renewals in the row (a store write per cell and interval for liveness that heartbeats already give); provisional counter + 1 alone (two instances that cannot hear each other would use one epoch, so the counter carries a slot of the instance). Change: OwnershipPlanner with Candidates and Vacancy, ProvisionalPlanner, HomeCell, Route, WriteBudget, RetryPolicy, each with tests.

--- a/packages/membership/include/jasminespar/membership/ownership.h
+++ b/packages/membership/include/jasminespar/membership/ownership.h
@@ -12,6 +12,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <variant>
 #include <vector>
 
@@ -19,29 +20,13 @@
 #include "jasminespar/core/ids.h"
 #include "jasminespar/core/name_table.h"
 #include "jasminespar/core/time.h"
+#include "jasminespar/membership/candidates.h"
+#include "jasminespar/membership/ownership_row.h"
+#include "jasminespar/membership/vacancy.h"
 #include "jasminespar/membership/view.h"
 
 namespace jasminespar::membership {
 
-/// Content of the ownership row of one cell in the platform's table.
-struct OwnershipRow {
-  CellId cell;
-  InstanceId owner;  ///< Empty when the last owner gave the cell back.
-  configuration::Address peer;
-  Epoch epoch;  ///< Durable part only.
-  /// Chosen anew for each write, so that a writer whose answer was lost
-  /// recognises its own write when it reads the row back.
-  std::uint64_t claim_id = 0;
-  auto operator<=>(const OwnershipRow&) const = default;
-};
-
-/// A row with the table's version of it; version 0 means that there is none.
-struct VersionedRow {
-  OwnershipRow row;
-  std::uint64_t version = 0;
-  auto operator<=>(const VersionedRow&) const = default;
-};
-
 /// Read the row of the cell; answer with `RowRead` or `StoreFailed`.
 struct ReadRow {
   CellId cell;
@@ -89,7 +74,8 @@
     {OwnershipMutation::kReuseEpoch, "reuse_epoch",
      "A claim keeps the epoch of the row."},
     {OwnershipMutation::kBlindRetry, "blind_retry",
-     "A claim without an answer is taken as won."},
+     "A claim without an answer is sent again unread, and its conflict is "
+     "taken for the success of the first one."},
 }};
 static_assert(IsDense(kOwnershipMutationNames));
 
@@ -100,6 +86,7 @@
   Duration unknown_owner_after = 2s;
   /// A row whose live owner does not say that it owns the cell, likewise.
   Duration silent_owner_after = 10s;
+  Duration plan_interval = 200ms;
   Duration row_fresh = 1s;  ///< Older rows are read again before a claim.
   /// A better-ranked instance must be live so long before it gets a cell.
   Duration rebalance_after = 30s;
@@ -159,6 +146,11 @@
   /// Nothing is in progress in the yielded cell and its snapshot is written.
   void HandoverFinished(const CellId& cell, TimePoint now);
 
+  /// This instance holds the cell under a provisional epoch: it claims the
+  /// cell as soon as the store answers, before any other candidate.
+  void HoldProvisionally(const CellId& cell) { provisional_.insert(cell); }
+  void EndProvisional(const CellId& cell) { provisional_.erase(cell); }
+
   /// Shutdown: yields every cell and claims none from now on.
   void BeginLeave() noexcept { leaving_ = true; }
 
@@ -173,6 +165,7 @@
   }
 
  private:
+  /// The store action of a cell that is in progress.
   enum class Pending : std::uint8_t { kNone, kRead, kClaim, kRelease };
 
   /// What the planner knows of one cell's row.
@@ -180,35 +173,41 @@
     std::optional<VersionedRow> row;
     TimePoint row_read;
     Pending pending = Pending::kNone;
-    bool read_back = false;  ///< A write of ours has an unknown result.
-    OwnershipRow written;    ///< The row of that write.
+    bool read_back =
+        false;  ///< Whether a write of ours took effect is unknown.
+    std::uint64_t written_over = 0;  ///< Version that the write expected.
+    OwnershipRow written;
     bool handover_finished = false;
-    /// Since when the row's owner does not do its duty, and why not.
-    std::optional<TimePoint> vacant_since;
-    /// Since when a better-ranked instance is live.
-    std::optional<TimePoint> better_since;
-    InstanceId better;
+    Vacancy vacancy = Vacancy::kNone;
+    TimePoint vacancy_since;
+    InstanceId better;  ///< Best-ranked instance, when it is another one.
+    TimePoint better_since;
   };
 
-  void PlanCell(const View& view, const CellId& cell, TimePoint now,
-                std::vector<OwnershipAction>& actions);
-  void PlanHeld(const View& view, const CellId& cell, TimePoint now,
-                std::vector<OwnershipAction>& actions);
-  void PlanOther(const View& view, const CellId& cell, TimePoint now,
-                 std::vector<OwnershipAction>& actions);
-  [[nodiscard]] bool ShouldYield(const View& view, const CellId& cell,
-                                 CellRecord& record, TimePoint now) const;
-  [[nodiscard]] bool IsVacant(const View& view, const CellId& cell,
-                              CellRecord& record, TimePoint now) const;
-  void Claim(const CellId& cell, CellRecord& record,
-             std::vector<OwnershipAction>& actions);
-  void Release(const CellId& cell, CellRecord& record,
-               std::vector<OwnershipAction>& actions);
+  using Actions = std::vector<OwnershipAction>;
+
+  void PlanHeld(const View& view, const Candidates& candidates,
+                const CellId& cell, TimePoint now, Actions& actions);
+  void PlanOther(const View& view, const Candidates& candidates,
+                 const CellId& cell, TimePoint now, Actions& actions);
+  [[nodiscard]] bool ShouldYield(const Candidates& candidates,
+                                 const CellId& cell, CellRecord& record,
+                                 TimePoint now) const;
+  [[nodiscard]] Duration ClaimDelay(const CellId& cell, Vacancy vacancy,
+                                    std::size_t rank) const;
+  void ReadOrReadBack(const CellId& cell, CellRecord& record,
+                      Actions& actions) const;
+  void Claim(const CellId& cell, CellRecord& record, Actions& actions);
+  void Release(const CellId& cell, CellRecord& record, Actions& actions);
+  void AcceptWrite(const CellId& cell, CellRecord& record,
+                   std::uint64_t version, TimePoint now);
   void AcceptRow(const CellId& cell, const VersionedRow& row, TimePoint now,
-                 std::vector<OwnershipAction>& actions);
-  void Lose(const CellId& cell, std::vector<OwnershipAction>& actions);
+                 Actions& actions);
+  void Lose(const CellId& cell, Actions& actions);
+  void NoteStoreAnswers() noexcept;
+  [[nodiscard]] bool StoreUsable(TimePoint now) const noexcept;
   [[nodiscard]] std::uint64_t NextClaimId();
-  [[nodiscard]] std::size_t handovers() const noexcept;
+  [[nodiscard]] std::size_t Handovers() const noexcept;
 
   OwnershipSettings settings_;
   InstanceId self_;
@@ -216,8 +215,10 @@
   std::uint64_t incarnation_;
   std::uint64_t claims_ = 0;
   bool leaving_ = false;
+  bool told_to_leave_ = false;  ///< By the platform's list.
   std::map<CellId, CellRecord> records_;
   std::map<CellId, HeldCell> held_;
+  std::set<CellId> provisional_;
   std::optional<TimePoint> store_down_since_;
   TimePoint store_retry_;
   std::uint32_t store_failures_ = 0;
--- a/packages/membership/include/jasminespar/membership/view.h
+++ b/packages/membership/include/jasminespar/membership/view.h
@@ -33,6 +33,7 @@
   MemberState state = MemberState::kListed;
   /// Last word of the platform's list; kGone when the list has dropped it.
   configuration::MachineState listed = configuration::MachineState::kLive;
+  bool announced_leaving = false;  ///< Its own heartbeat says that it leaves.
   std::uint64_t incarnation = 0;
   TimePoint heard;  ///< Arrival of the newest heartbeat, or of the listing.
 };
--- a/packages/membership/src/member_table.cc
+++ b/packages/membership/src/member_table.cc
@@ -158,6 +158,7 @@
                   entry.listing.peer,
                   StateOf(entry, now),
                   entry.listing.state,
+                  entry.leaving,
                   entry.incarnation,
                   entry.heard.value_or(entry.first_known)};
     if (id == self_) {
--- /dev/null
+++ b/tests/membership/budget_test.cc
@@ -0,0 +1,112 @@
+#include <catch2/catch.hpp>
+#include <random>
+#include <set>
+
+#include "jasminespar/membership/retry_policy.h"
+#include "jasminespar/membership/write_budget.h"
+
+namespace jasminespar::membership {
+namespace {
+
+const TimePoint kStart{1000s};
+const Batch kUrgent{1, 100, true};
+
+TEST_CASE("A lone record is written at once when the share is unspent") {
+  WriteBudget budget({});
+  budget.SetOwners(6, kStart);
+  CHECK(budget.WriteAt(kUrgent, kStart) == kStart);
+  CHECK(budget.WriteAt(Batch{1, 100, false}, kStart) == kStart);
+  CHECK_FALSE(budget.WriteAt(Batch{}, kStart).has_value());
+}
+
+TEST_CASE("The owners together stay within the site's budget") {
+  const std::size_t owners = GENERATE(1, 6, 60);
+  std::vector<WriteBudget> budgets(owners, WriteBudget({}));
+  for (WriteBudget& budget : budgets) budget.SetOwners(owners, kStart);
+  std::size_t writes = 0;
+  for (Duration at = 0s; at < 60s; at += 1ms) {
+    for (WriteBudget& budget : budgets) {
+      if (*budget.WriteAt(kUrgent, kStart + at) > kStart + at) continue;
+      budget.RecordWrite(1, kStart + at);
+      ++writes;
+    }
+  }
+  CHECK(writes > 60 * 240 * 0.95);
+  CHECK(writes <= 60 * 240 + 4 * owners);
+}
+
+TEST_CASE("After an outage the owners come back spread out") {
+  std::mt19937_64 generator(1);
+  std::set<TimePoint> returns;
+  for (int owner = 0; owner < 50; ++owner) {
+    WriteBudget budget({});
+    budget.SetOwners(50, kStart);
+    for (int i = 0; i < 10; ++i) budget.RecordFailure(kStart, generator);
+    returns.insert(*budget.WriteAt(kUrgent, kStart));
+  }
+  CHECK(returns.size() == 50);
+  CHECK(*returns.begin() >= kStart + 5s);
+  CHECK(*returns.rbegin() - *returns.begin() > 5s);
+}
+
+FailedTry Failure(Reason reason, Verdict verdict, Idempotence idempotence) {
+  FailedTry failed;
+  failed.failure.reason = reason;
+  failed.failure.verdict = verdict;
+  failed.idempotence = idempotence;
+  failed.deadline = kStart + 1h;
+  return failed;
+}
+
+TEST_CASE("A non-idempotent request that may have run is never retried") {
+  std::mt19937_64 generator(1);
+  RetryPolicy policy({});
+  for (const ReasonRow& row : kReasons) {
+    for (const Verdict verdict : {Verdict::kMayHaveRun, Verdict::kRan}) {
+      const auto decision = policy.Decide(
+          Failure(row.value, verdict, Idempotence::kNonIdempotent), kStart,
+          generator);
+      REQUIRE(std::get<GiveUp>(decision).refusal.verdict == verdict);
+    }
+  }
+}
+
+TEST_CASE("Retries stay within a tenth of the requests and the floor") {
+  std::mt19937_64 generator(1);
+  RetryPolicy policy({});
+  int retries = 0;
+  for (int i = 0; i < 100'000; ++i) {
+    const TimePoint now = kStart + i * 100us;
+    policy.RecordRequest(now);
+    const auto decision = policy.Decide(
+        Failure(Reason::kNoOwner, Verdict::kNotRun, Idempotence::kIdempotent),
+        now, generator);
+    if (std::holds_alternative<RetryAfter>(decision)) {
+      ++retries;
+    } else {
+      const Refusal& refusal = std::get<GiveUp>(decision).refusal;
+      REQUIRE(refusal.reason == Reason::kRetryBudgetSpent);
+    }
+  }
+  CHECK(retries <= 10'000 + 10 + 10);
+  CHECK(retries > 9'900);
+}
+
+TEST_CASE("No retry starts after the deadline or beyond the limit of tries") {
+  std::mt19937_64 generator(1);
+  RetryPolicy policy({});
+  FailedTry failed =
+      Failure(Reason::kNoOwner, Verdict::kNotRun, Idempotence::kIdempotent);
+  failed.deadline = kStart + 10ms;
+  CHECK(
+      std::holds_alternative<GiveUp>(policy.Decide(failed, kStart, generator)));
+  failed.deadline = kStart + 1h;
+  CHECK(std::holds_alternative<RetryAfter>(
+      policy.Decide(failed, kStart, generator)));
+  failed.tries = 4;
+  CHECK(
+      std::holds_alternative<GiveUp>(policy.Decide(failed, kStart, generator)));
+}
+
+}  // namespace
+}  // namespace jasminespar::membership
--- /dev/null
+++ b/tests/membership/provisional_test.cc
@@ -0,0 +1,85 @@
+#include "jasminespar/membership/provisional.h"
+
+#include <catch2/catch.hpp>
+
+namespace jasminespar::membership {
+namespace {
+
+const TimePoint kStart{1000s};
+const CellId kCell{"dc-a/0"};
+const std::vector<CutOffCell> kCells{
+    {kCell, {WorkerId{1}, WorkerId{2}, WorkerId{3}}, Epoch{5, 0}}};
+
+View LoneView() {
+  View view;
+  view.self = InstanceId{"a1"};
+  Member self;
+  self.id = view.self;
+  self.data_centre = DataCentreId{"dc-a"};
+  self.state = MemberState::kLive;
+  view.members.push_back(self);
+  return view;
+}
+
+TEST_CASE("A cut-off cell is served once most workers granted its epoch") {
+  ProvisionalPlanner planner({}, InstanceId{"a1"}, 1);
+  const View view = LoneView();
+  CHECK(planner.Plan(view, kCells, std::nullopt, kStart).empty());
+  CHECK(planner.Plan(view, kCells, kStart, kStart + 2s).empty());
+  const auto actions = planner.Plan(view, kCells, kStart, kStart + 3s);
+  REQUIRE(actions.size() == 1);
+  const Epoch epoch = std::get<ObtainLeases>(actions[0]).epoch;
+  CHECK(epoch > Epoch{5, 0});
+  CHECK(epoch < Epoch{6, 0});
+  CHECK(planner.WorkerGranted(kCell, epoch, WorkerId{1}).empty());
+  CHECK(planner.WorkerGranted(kCell, epoch, WorkerId{1}).empty());
+  CHECK(planner.WorkerGranted(kCell, epoch, WorkerId{2}).size() == 1);
+  CHECK(planner.Serves(kCell));
+  planner.DurableEpochKnown(kCell);
+  CHECK_FALSE(planner.Serves(kCell));
+}
+
+TEST_CASE("A living owner or a higher epoch excludes a provisional one") {
+  ProvisionalPlanner planner({}, InstanceId{"a1"}, 1);
+  View view = LoneView();
+  Member other = view.members[0];
+  other.id = InstanceId{"a2"};
+  view.members.push_back(other);
+  view.cells.push_back(
+      CellOwner{kCell, other.id, Epoch{5, 0}, false, {}, kStart});
+  CHECK(planner.Plan(view, kCells, kStart, kStart + 1h).empty());
+  view.members[1].state = MemberState::kSuspected;
+  CHECK(planner.Plan(view, kCells, kStart, kStart + 1h).size() == 1);
+  view.cells[0].epoch = Epoch{6, 0};
+  const auto actions = planner.Plan(view, kCells, kStart, kStart + 1h);
+  REQUIRE(actions.size() == 1);
+  CHECK(std::holds_alternative<EndProvisional>(actions[0]));
+}
+
+TEST_CASE("Provisional epochs of two instances differ and only rise") {
+  Epoch epoch{5, 0};
+  for (int i = 0; i < 4000; ++i) {
+    const auto first = NextProvisionalEpoch(epoch, InstanceId{"a1"}, 1);
+    const auto second = NextProvisionalEpoch(epoch, InstanceId{"a2"}, 1);
+    REQUIRE(first.has_value());
+    REQUIRE(*first > epoch);
+    REQUIRE(*first != *second);
+    epoch = *first;
+  }
+  epoch.provisional = ~0U;
+  CHECK_FALSE(NextProvisionalEpoch(epoch, InstanceId{"a1"}, 1).has_value());
+}
+
+TEST_CASE("An attempt that found too few workers does not use up a round") {
+  ProvisionalPlanner planner({}, InstanceId{"a1"}, 1);
+  const View view = LoneView();
+  const auto first = planner.Plan(view, kCells, kStart, kStart + 3s);
+  CHECK(planner.Plan(view, kCells, kStart, kStart + 7s).size() == 1);
+  const auto again = planner.Plan(view, kCells, kStart, kStart + 8s);
+  REQUIRE(again.size() == 1);
+  CHECK(std::get<ObtainLeases>(first[0]).epoch ==
+        std::get<ObtainLeases>(again[0]).epoch);
+}
+
+}  // namespace
+}  // namespace jasminespar::membership
--- /dev/null
+++ b/tests/membership/routing_test.cc
@@ -0,0 +1,64 @@
+#include "jasminespar/membership/routing.h"
+
+#include <catch2/catch.hpp>
+#include <map>
+
+namespace jasminespar::membership {
+namespace {
+
+const TimePoint kStart{1000s};
+const CellId kCell{"dc-a/0"};
+
+View ViewWithOwner(const std::string& owner, MemberState state) {
+  View view;
+  view.self = InstanceId{"a1"};
+  for (const char* id : {"a1", "a2"}) {
+    Member member;
+    member.id = InstanceId{id};
+    member.state = state;
+    view.members.push_back(member);
+  }
+  view.cells.push_back(
+      CellOwner{kCell, InstanceId{owner}, Epoch{3, 0}, false, {}, kStart});
+  return view;
+}
+
+Reason ReasonOf(const RouteDecision& decision) {
+  return std::get<RefuseRoute>(decision).refusal.reason;
+}
+
+TEST_CASE("Calls go to the owner or are refused as not run") {
+  const RoutingSettings settings;
+  const View own = ViewWithOwner("a1", MemberState::kLive);
+  CHECK(std::get<ServeHere>(Route(settings, own, kCell, 9)).epoch ==
+        Epoch{3, 0});
+  const View other = ViewWithOwner("a2", MemberState::kLive);
+  CHECK(std::get<Forward>(Route(settings, other, kCell, 1)).instance ==
+        InstanceId{"a2"});
+  CHECK(ReasonOf(Route(settings, other, kCell, 2)) == Reason::kHopLimit);
+  const View lost = ViewWithOwner("a2", MemberState::kSuspected);
+  CHECK(ReasonOf(Route(settings, lost, kCell, 0)) == Reason::kOwnerUnreachable);
+  CHECK(ReasonOf(Route(settings, other, CellId{"x/1"}, 0)) == Reason::kNoOwner);
+}
+
+TEST_CASE("Home cells follow their weights and move little") {
+  const std::vector<WeightedCell> cells{
+      {CellId{"a/0"}, 100}, {CellId{"b/0"}, 300}, {CellId{"c/0"}, 0}};
+  std::vector<WeightedCell> more = cells;
+  more.push_back({CellId{"d/0"}, 400});
+  std::map<CellId, int> homes;
+  for (std::uint64_t i = 0; i < 10'000; ++i) {
+    const CallId id{SeededHash("high", i), SeededHash("low", i)};
+    const CellId home = *HomeCell(id, cells);
+    ++homes[home];
+    const CellId after = *HomeCell(id, more);
+    REQUIRE((after == home || after == CellId{"d/0"}));
+  }
+  CHECK(homes[CellId{"a/0"}] > 2'350);
+  CHECK(homes[CellId{"a/0"}] < 2'650);
+  CHECK(homes.count(CellId{"c/0"}) == 0);
+  CHECK_FALSE(HomeCell(CallId{}, {}).has_value());
+}
+
+}  // namespace
+}  // namespace jasminespar::membership
