--- a/packages/membership/include/jasminespar/membership/routing.h
+++ b/packages/membership/include/jasminespar/membership/routing.h
@@ -72,9 +72,10 @@
 }};
 static_assert(IsDense(kCellChoiceNames));
 
-/// Chooses between two cells by expected start. Old knowledge counts less:
-/// the estimate decays towards the mean of both, so that a queue that was
-/// short seconds ago does not attract every caller at once.
+/// Chooses between two cells by expected start. A call stays in its home cell
+/// unless the other one is expected to start it earlier. The older the
+/// knowledge, the fewer of the calls leave, so that a queue that was short
+/// seconds ago does not attract every caller at once.
 /// @param accelerators size of the gang.
 /// @param draw uniform in [0, 1); spreads the choice when both look alike.
 [[nodiscard]] CellChoice PickCell(const CellLoad& home, const CellLoad& other,
--- a/packages/membership/src/routing.cc
+++ b/packages/membership/src/routing.cc
@@ -20,6 +20,25 @@
   return (mantissa + 0.5) / static_cast<double>(1ULL << kMantissaBits);
 }
 
+double SecondsOf(Duration span) {
+  return std::chrono::duration<double>(span).count();
+}
+
+/// @return seconds until the cell could start the gang, as it was last told.
+double StartOf(const CellLoad& cell, int accelerators) {
+  const scheduling::LoadSummary& load = cell.load;
+  if (load.largest_free_shape >= static_cast<std::uint32_t>(accelerators)) {
+    return 0;
+  }
+  constexpr double kShortestWait = 0.01;  // Seconds.
+  return std::max(SecondsOf(load.expected_wait), kShortestWait);
+}
+
+/// Added to both waits for each second of age.
+constexpr double kWaitPerAge = 1.0;
+/// Age at which half of those that would leave stay at home; seconds.
+constexpr double kHalfTrustAge = 2.0;
+
 RefuseRoute Refuse(Reason reason, Duration retry_after, std::string detail) {
   return RefuseRoute{
       Refusal{reason, Verdict::kNotRun, retry_after, std::move(detail)}};
@@ -63,4 +82,19 @@
   return Forward{owner->id, owner->peer, cell, known->epoch};
 }
 
+CellChoice PickCell(const CellLoad& home, const CellLoad& other,
+                    int accelerators, double draw) {
+  const double home_start = StartOf(home, accelerators);
+  const double other_start = StartOf(other, accelerators);
+  if (home_start <= other_start) return CellChoice::kHome;
+  const double age = SecondsOf(std::max(home.age, other.age));
+  const double home_blurred = home_start + kWaitPerAge * age;
+  const double other_blurred = other_start + kWaitPerAge * age;
+  // From one with fresh knowledge of an idle other cell to a half, when the
+  // age hides the difference; then to none, as it hides the direction too.
+  const double odds = home_blurred / (home_blurred + other_blurred);
+  const double trust = 1 / (1 + (age * age) / (kHalfTrustAge * kHalfTrustAge));
+  return draw < odds * trust ? CellChoice::kOther : CellChoice::kHome;
+}
+
 }  // namespace jasminespar::membership
--- a/tests/membership/routing_test.cc
+++ b/tests/membership/routing_test.cc
@@ -60,5 +60,18 @@
   CHECK_FALSE(HomeCell(CallId{}, {}).has_value());
 }
 
+TEST_CASE("Old knowledge moves fewer calls to the other cell") {
+  CellLoad home;
+  home.load.expected_wait = 4s;
+  CellLoad other;
+  other.load.largest_free_shape = 8;
+  CHECK(PickCell(home, other, 8, 0.999) == CellChoice::kOther);
+  CHECK(PickCell(other, home, 8, 0.0) == CellChoice::kHome);
+  CHECK(PickCell(home, other, 9, 0.0) == CellChoice::kOther);
+  home.age = other.age = 4s;
+  CHECK(PickCell(home, other, 8, 0.13) == CellChoice::kOther);
+  CHECK(PickCell(home, other, 8, 0.14) == CellChoice::kHome);
+}
+
 }  // namespace
 }  // namespace jasminespar::membership
