Link jasmined whole: codec in the front and the configuration store

Cause: the parts built side by side had to meet; the front had problem details of its own beside those of the codec package. Change: one encoding of problems, call states and revisions, in codec. Ruled out: keeping two. Before: jasmined did not link. After: it links.

--- a/packages/daemon/src/configuration_store.cc
+++ b/packages/daemon/src/configuration_store.cc
@@ -10,8 +10,9 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "jasminespar/codec/call_json.h"
 #include "jasminespar/codec/configuration_json.h"
-#include "jasminespar/codec/note_json.h"
+#include "jasminespar/codec/problem_json.h"
 #include "jasminespar/configuration/compile.h"
 #include "jasminespar/configuration/conflict.h"
 #include "jasminespar/core/error.h"
@@ -36,7 +37,6 @@
 constexpr std::size_t kReadKeys = 128;
 constexpr int kCommitRequests = 12;
 constexpr Duration kRetryPause = 200ms;
-constexpr int kOk = 200;
 
 std::string NoteKey(std::uint64_t revision) {
   char text[16];
@@ -67,35 +67,40 @@
 
 NoteAnswered Accepted(Revision revision) {
   NoteAnswered answer;
-  answer.json = Json{{"revision", revision.value}}.dump();
+  answer.json = codec::EncodeRevision(revision);
   return answer;
 }
 
-NoteAnswered Refused(Reason reason, Verdict verdict, std::string detail,
-                     Json more = Json::object()) {
-  const ReasonRow& row = RowOf(kReasons, reason);
-  more["type"] = "about:blank";
-  more["title"] = row.help;
-  more["status"] = row.http_status;
-  more["reason"] = row.name;
-  more["verdict"] = NameOf(verdict);
-  more["detail"] = std::move(detail);
+NoteAnswered Refused(const codec::Problem& problem) {
   NoteAnswered answer;
-  answer.http_status = row.http_status;
-  answer.json = more.dump(-1, ' ', false, Json::error_handler_t::replace);
-  answer.refused = reason;
+  answer.http_status = HttpStatusOf(problem.refusal.reason);
+  answer.json = codec::EncodeProblem(problem);
+  answer.refused = problem.refusal.reason;
   return answer;
 }
 
-NoteAnswered RefusedFor(const std::vector<configuration::NoteFault>& faults) {
-  Json list = Json::array();
-  for (const configuration::NoteFault& fault : faults) {
-    list.push_back({{"section", fault.section},
-                    {"key", fault.key},
-                    {"message", fault.message}});
+NoteAnswered Refused(Reason reason, Verdict verdict, std::string detail) {
+  codec::Problem problem;
+  problem.refusal.reason = reason;
+  problem.refusal.verdict = verdict;
+  problem.refusal.detail = std::move(detail);
+  return Refused(problem);
+}
+
+NoteAnswered RefusedFor(std::vector<configuration::NoteFault> faults) {
+  codec::Problem problem;
+  problem.refusal.reason = Reason::kInvalidNote;
+  problem.faults = std::move(faults);
+  return Refused(problem);
+}
+
+std::vector<configuration::NoteFault> ToNoteFaults(
+    const std::vector<codec::ParseFault>& faults) {
+  std::vector<configuration::NoteFault> result;
+  for (const codec::ParseFault& fault : faults) {
+    result.push_back({"", fault.path, fault.message});
   }
-  return Refused(Reason::kInvalidNote, Verdict::kNotRun, "",
-                 Json{{"faults", list}});
+  return result;
 }
 
 asio::awaitable<void> Sleep(asio::io_context& context, Duration span) {
@@ -272,14 +277,12 @@
 }
 
 NoteAnswered ConfigurationStore::ListAfter(Revision after) const {
-  Json notes = Json::array();
+  std::vector<ReleaseNote> notes;
   for (auto it = recent_.upper_bound(after.value); it != recent_.end(); ++it) {
-    notes.push_back(
-        {{"revision", it->first}, {"note", Json::parse(it->second)}});
+    notes.push_back(std::get<ReleaseNote>(codec::ParseNote(it->second)));
   }
   NoteAnswered answer;
-  answer.json =
-      Json{{"revision", keeper_.revision().value}, {"notes", notes}}.dump();
+  answer.json = codec::EncodeNotes(notes);
   return answer;
 }
 
@@ -314,8 +317,8 @@
                                                          bool check_only) {
   auto parsed = codec::ParseNote(text);
   if (const auto* faults =
-          std::get_if<std::vector<configuration::NoteFault>>(&parsed)) {
-    co_return RefusedFor(*faults);
+          std::get_if<std::vector<codec::ParseFault>>(&parsed)) {
+    co_return RefusedFor(ToNoteFaults(*faults));
   }
   ReleaseNote note = std::get<ReleaseNote>(std::move(parsed));
   const Head head = co_await FetchHead();
@@ -419,27 +422,22 @@
   const Head head = co_await FetchHead();
   co_await CatchUp(head);
   const std::uint64_t taken = note.base.value + 1;
-  Json conflicts = Json::array();
-  if (head.revision - taken < kNoteSlots) {
+  codec::Problem problem;
+  problem.refusal.reason = Reason::kRevisionConflict;
+  problem.refusal.detail = "revision " + std::to_string(head.revision) +
+                           " is in force, the note stands on " +
+                           std::to_string(note.base.value);
+  if (head.revision >= taken && head.revision - taken < kNoteSlots) {
     const Notes winners = co_await FetchNotes(taken, taken);
     if (winners.at(0).id == note.id) co_return Accepted(Revision{taken});
+    problem.winner = winners.at(0).id;
     // The base itself is no longer kept; the present values serve.
-    for (const configuration::KeyConflict& conflict :
-         configuration::FindConflicts(*keeper_.current(), winners.at(0),
-                                      note)) {
-      conflicts.push_back({{"item", conflict.item},
-                           {"key", conflict.key},
-                           {"winner", conflict.winner},
-                           {"loser", conflict.loser}});
-    }
+    problem.conflicts =
+        configuration::FindConflicts(*keeper_.current(), winners.at(0), note);
   }
   telemetry::LogEvent(telemetry::Event::kNoteConflict,
                       {{"note", note.id.value}});
-  co_return Refused(
-      Reason::kRevisionConflict, Verdict::kNotRun,
-      "revision " + std::to_string(head.revision) +
-          " is in force, the note stands on " + std::to_string(note.base.value),
-      Json{{"conflicts", conflicts}, {"revision", head.revision}});
+  co_return Refused(problem);
 }
 
 }  // namespace jasminespar::daemon
--- a/packages/front/src/call_codec.cc
+++ b/packages/front/src/call_codec.cc
@@ -2,17 +2,16 @@
 
 #include <algorithm>
 #include <charconv>
-#include <nlohmann/json.hpp>
 #include <optional>
 #include <utility>
 
+#include "jasminespar/codec/call_json.h"
+#include "jasminespar/codec/problem_json.h"
 #include "jasminespar/core/overloaded.h"
 
 namespace jasminespar::front {
 namespace {
 
-using Json = nlohmann::json;
-
 constexpr int kAccepted = 202;
 
 Refusal Malformed(std::string detail) {
@@ -98,17 +97,17 @@
   return std::to_string(std::chrono::ceil<std::chrono::seconds>(span).count());
 }
 
-http::Response MakeJson(int status, const Json& json, const char* type) {
+http::Response MakeJson(int status, std::string json, std::string_view type) {
   http::Response response;
   response.status = status;
-  response.headers.push_back({"Content-Type", type});
-  // Text from callers may hold any bytes; invalid UTF-8 is replaced.
-  response.body = json.dump(-1, ' ', false, Json::error_handler_t::replace);
+  response.headers.push_back({"Content-Type", std::string(type)});
+  response.body = std::move(json);
   return response;
 }
 
-http::Response ToAccepted(const CallId& id, const Json& json) {
-  http::Response response = MakeJson(kAccepted, json, "application/json");
+http::Response ToAccepted(const CallId& id, std::string json) {
+  http::Response response =
+      MakeJson(kAccepted, std::move(json), "application/json");
   response.headers.push_back({"Location", "/v1/calls/" + ToString(id)});
   return response;
 }
@@ -177,34 +176,22 @@
             response.headers.push_back({"Jasminespar-Call", ToString(id)});
             return response;
           },
-          [&](cell::CallStatus& status) {
-            return ToAccepted(
-                id,
-                Json{{"id", ToString(status.id)},
-                     {"state", RowOf(cell::kCallStateNames, status.state).name},
-                     {"attempt", status.attempt.value},
-                     {"explanation", status.explanation}});
+          [&](const cell::CallStatus& status) {
+            return ToAccepted(id, codec::EncodeCallStatus(status));
           },
-          [&](cell::CallAcceptedReply& accepted) {
-            return ToAccepted(id, Json{{"id", ToString(accepted.id)}});
+          [&](const cell::CallAcceptedReply& accepted) {
+            return ToAccepted(id, codec::EncodeCallAccepted(accepted.id));
           },
       },
       reply);
 }
 
 http::Response ToProblem(const Refusal& refusal) {
-  const ReasonRow& row = RowOf(kReasons, refusal.reason);
-  Json json{{"type", "about:blank"},
-            {"title", row.help},
-            {"status", row.http_status},
-            {"reason", row.name},
-            {"verdict", NameOf(refusal.verdict)},
-            {"detail", refusal.detail}};
-  if (refusal.retry_after > Duration::zero()) {
-    json["retry_after_ms"] = ToMilliseconds(refusal.retry_after);
-  }
+  codec::Problem problem;
+  problem.refusal = refusal;
   http::Response response =
-      MakeJson(row.http_status, json, "application/problem+json");
+      MakeJson(HttpStatusOf(refusal.reason), codec::EncodeProblem(problem),
+               codec::kProblemMediaType);
   if (refusal.retry_after > Duration::zero()) {
     response.headers.push_back(
         {"Retry-After", RetryAfterSeconds(refusal.retry_after)});
