--- a/packages/daemon/src/cell_journal.cc
+++ b/packages/daemon/src/cell_journal.cc
@@ -130,8 +130,8 @@
 }
 
 asio::awaitable<void> CellJournal::Run(Self self) {
-  if (!co_await self->Recover()) co_return;
-  while (!self->closed_) {
+  const bool recovered = co_await self->Recover();
+  while (recovered && !self->closed_) {
     if (self->snapshot_) {
       co_await self->PublishSnapshot();
       continue;
@@ -217,8 +217,10 @@
   }
   std::map<std::uint64_t, protocol::JournalBatch> batches;
   slot_versions_.clear();
-  for (const platform::Row& row :
-       co_await table_.Scan("journal/" + fence_.cell.value + "/")) {
+  std::string prefix = "journal/" + fence_.cell.value + "/";
+  const std::vector<platform::Row> journal =
+      co_await table_.Scan(std::move(prefix));
+  for (const platform::Row& row : journal) {
     protocol::JournalBatch batch = protocol::DecodeJournalBatch(row.value);
     slot_versions_[batch.number % protocol::kJournalSlots] = row.version;
     if (batch.number > snapshot_through_) {
@@ -275,7 +277,8 @@
   last_batch_ = batch.number;
   const TimePoint begun = runtime::SteadyNow();
   std::uint64_t version = 0;
-  if (!co_await Commit(std::move(transaction), version)) co_return;
+  const bool committed = co_await Commit(std::move(transaction), version);
+  if (!committed) co_return;
   slot_versions_[slot] = version;
   last_write_ = begun;
   metrics_.Count(telemetry::Counter::kJournalWrites);
@@ -355,7 +358,8 @@
   transaction.conditions.push_back({key, snapshot_version_});
   transaction.writes.push_back({key, protocol::Encode(row)});
   std::uint64_t version = 0;
-  if (!co_await Commit(std::move(transaction), version)) co_return;
+  const bool committed = co_await Commit(std::move(transaction), version);
+  if (!committed) co_return;
   const std::string replaced = std::exchange(snapshot_key_, row.object_key);
   snapshot_version_ = version;
   snapshot_through_ = row.through;
--- a/packages/daemon/src/configuration_store.cc
+++ b/packages/daemon/src/configuration_store.cc
@@ -200,7 +200,8 @@
     keys.push_back(NoteKey(revision));
   }
   std::map<std::string, std::string> values;
-  for (platform::Row& row : co_await table_.Read(std::move(keys))) {
+  std::vector<platform::Row> rows = co_await table_.Read(std::move(keys));
+  for (platform::Row& row : rows) {
     values[row.key] = std::move(row.value);
   }
   Notes notes;
