Add jasminectl: release notes, calls, instances and cells from the command line

Cause: operators need one tool whose exit codes tell what is known. Ruled out: an id from the file's text alone (the same file on a later base would be another step under the same id); taking any error status for the endpoint's answer (an intermediary's 502 gave exit code 8 'the call ran'; test 'an intermediary's error is not taken for the endpoint's answer' failed with 8 == 4, passes now that the answer must carry Jasminespar-Call). Change: package control (note files, command line as a variant of commands, servers tried in turn, exit codes from one table), apps/jasminectl with its install rule, docs/RELEASE-NOTES.md. INI sections without entries are kept. Before: no tool. Not run: jasminectl against a jasmined, which does not exist yet. Conclusion: to be tried end to end once the front answers.

--- /dev/null
+++ b/apps/jasminectl/main.cc
@@ -0,0 +1,54 @@
+/// @file
+/// jasminectl: the command line for operators and callers.
+
+#include <fstream>
+#include <iostream>
+#include <iterator>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "jasminespar/control/command_line.h"
+#include "jasminespar/control/run.h"
+#include "jasminespar/core/overloaded.h"
+
+namespace {
+
+using jasminespar::Overloaded;
+namespace control = jasminespar::control;
+
+std::optional<std::string> ReadFile(const std::string& name) {
+  if (name == "-") {
+    return std::string(std::istreambuf_iterator<char>(std::cin), {});
+  }
+  std::ifstream file(name, std::ios::binary);
+  if (!file) return std::nullopt;
+  return std::string(std::istreambuf_iterator<char>(file), {});
+}
+
+control::ExitCode Perform(const control::CommandLine& line) {
+  control::Surroundings around{
+      control::MakeExchange(line.servers, line.timeout), ReadFile, std::cout,
+      std::cerr};
+  return control::Run(line, around);
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  const std::vector<std::string> arguments(argv, argv + argc);
+  const control::ExitCode code = std::visit(
+      Overloaded{
+          [](const control::CommandLine& line) { return Perform(line); },
+          [](const control::UsageFault& fault) {
+            std::cerr << "jasminectl: " << fault.message << "\n";
+            return control::ExitCode::kUsage;
+          },
+          [](const control::HelpText& help) {
+            std::cout << help.text;
+            return control::ExitCode::kDone;
+          },
+      },
+      control::ParseCommandLine(arguments));
+  return static_cast<int>(code);
+}
--- /dev/null
+++ b/packages/control/src/note_commands.cc
@@ -0,0 +1,277 @@
+#include "note_commands.h"
+
+#include "jasminespar/codec/call_json.h"
+#include "jasminespar/codec/configuration_json.h"
+#include "jasminespar/configuration/difference.h"
+#include "jasminespar/configuration/item_keys.h"
+#include "jasminespar/control/note_file.h"
+#include "jasminespar/control/text_table.h"
+#include "reply.h"
+
+namespace jasminespar::control {
+
+namespace {
+
+using configuration::Configuration;
+using configuration::KeyDifference;
+using configuration::ReleaseNote;
+
+constexpr int kOk = 200;
+constexpr const char* kNotesTarget = "/v1/release-notes";
+
+std::string NotesAfter(Revision revision) {
+  return std::string(kNotesTarget) + "?after=" + std::to_string(revision.value);
+}
+
+/// A note file and the configuration that it changes.
+struct LoadedNote {
+  Configuration base;
+  NoteFile file;
+};
+
+/// @return the body of a successful GET, or why there is none.
+std::variant<std::string, ExitCode> Fetch(const std::string& target,
+                                          Surroundings& around) {
+  const ExchangeResult result = around.exchange(MakeRequest("GET", target));
+  if (const auto* failure = std::get_if<NoAnswer>(&result)) {
+    return ReportNoAnswer(*failure, around.err);
+  }
+  const auto& response = std::get<http::Response>(result);
+  if (response.status != kOk) return ReportProblem(response, around.err);
+  return response.body;
+}
+
+ExitCode ReportUnreadable(const std::vector<codec::ParseFault>& faults,
+                          std::ostream& err) {
+  for (const codec::ParseFault& fault : faults) {
+    err << "unexpected answer: " << fault.path << ": " << fault.message << "\n";
+  }
+  return ExitCode::kUnknownOutcome;
+}
+
+std::variant<Configuration, ExitCode> FetchConfiguration(Surroundings& around) {
+  const auto body = Fetch("/v1/configuration", around);
+  if (const auto* code = std::get_if<ExitCode>(&body)) return *code;
+  const auto parsed = codec::ParseConfiguration(std::get<std::string>(body));
+  if (parsed.index() != 0) {
+    return ReportUnreadable(std::get<1>(parsed), around.err);
+  }
+  return std::get<0>(parsed);
+}
+
+std::variant<LoadedNote, ExitCode> LoadNote(const std::string& file,
+                                            Surroundings& around) {
+  const std::optional<std::string> text = around.read_file(file);
+  if (!text) {
+    around.err << file << ": cannot be read\n";
+    return ExitCode::kLocalFault;
+  }
+  auto base = FetchConfiguration(around);
+  if (const auto* code = std::get_if<ExitCode>(&base)) return *code;
+  auto& configuration = std::get<Configuration>(base);
+  auto parsed = ParseNoteFile(*text, file, configuration);
+  if (auto* note = std::get_if<NoteFile>(&parsed)) {
+    return LoadedNote{std::move(configuration), std::move(*note)};
+  }
+  for (const settings::SettingFault& fault : std::get<1>(parsed)) {
+    around.err << ToString(fault) << "\n";
+  }
+  return ExitCode::kLocalFault;
+}
+
+/// Prints the faults of a note with the lines of its file.
+ExitCode ReportNoteProblem(const NoteFile& file, const http::Response& response,
+                           std::ostream& err) {
+  const auto parsed = codec::ParseProblem(response.body);
+  if (const auto* problem = std::get_if<codec::Problem>(&parsed)) {
+    for (const configuration::NoteFault& fault : problem->faults) {
+      err << ToString(Locate(file, fault)) << "\n";
+    }
+  }
+  return ReportProblem(response, err);
+}
+
+/// After a lost answer: the history tells whether the note became the next
+/// revision. It may still become it later when no note has.
+ExitCode LookUpNote(const ReleaseNote& note, Surroundings& around) {
+  const auto body = Fetch(NotesAfter(note.base), around);
+  if (const auto* text = std::get_if<std::string>(&body)) {
+    const auto parsed = codec::ParseNotes(*text);
+    const auto* notes = std::get_if<std::vector<ReleaseNote>>(&parsed);
+    if (notes != nullptr && !notes->empty() &&
+        notes->front().base == note.base) {
+      const bool own = notes->front().id == note.id;
+      (own ? around.out : around.err)
+          << (own ? "accepted" : "conflict: another note was accepted")
+          << ": revision " << note.base.value + 1 << "\n";
+      return own ? ExitCode::kDone : ExitCode::kConflict;
+    }
+  }
+  around.err << "unknown whether note " << note.id.value
+             << " was accepted; see: history --after " << note.base.value
+             << "\n";
+  return ExitCode::kUnknownOutcome;
+}
+
+/// @return the code of a note that was not answered with 200.
+ExitCode ReportNotAccepted(const NoteFile& file, const ExchangeResult& result,
+                           std::ostream& err) {
+  if (const auto* failure = std::get_if<NoAnswer>(&result)) {
+    return ReportNoAnswer(*failure, err);
+  }
+  return ReportNoteProblem(file, std::get<http::Response>(result), err);
+}
+
+ExitCode ReportAccepted(const http::Response& response, OutputForm output,
+                        const std::string& done, std::ostream& out) {
+  if (output == OutputForm::kJson) {
+    out << response.body << "\n";
+    return ExitCode::kDone;
+  }
+  const auto revision = codec::ParseRevision(response.body);
+  out << done;
+  if (const auto* value = std::get_if<Revision>(&revision)) {
+    out << ": revision " << value->value;
+  }
+  out << "\n";
+  return ExitCode::kDone;
+}
+
+ExitCode PostNote(const LoadedNote& loaded, const std::string& target,
+                  OutputForm output, const std::string& done,
+                  Surroundings& around) {
+  http::Request request =
+      MakeRequest("POST", target, codec::EncodeNote(loaded.file.note));
+  request.headers.push_back({"Content-Type", "application/json"});
+  const ExchangeResult result = around.exchange(request);
+  const auto* response = std::get_if<http::Response>(&result);
+  if (response != nullptr && response->status == kOk) {
+    return ReportAccepted(*response, output, done, around.out);
+  }
+  return ReportNotAccepted(loaded.file, result, around.err);
+}
+
+/// What is added or withdrawn is left to the instance to check: a misspelt
+/// withdrawal changes nothing either.
+bool OnlyChanges(const ReleaseNote& note) {
+  return note.accounts.added.empty() && note.accounts.withdrawn.empty() &&
+         note.services.added.empty() && note.services.withdrawn.empty();
+}
+
+void PrintDifferences(const std::vector<KeyDifference>& differences,
+                      std::ostream& out) {
+  std::vector<TextRow> rows;
+  for (const KeyDifference& difference : differences) {
+    rows.push_back(
+        {difference.item, difference.key, difference.before, difference.after});
+  }
+  out << FormatTable({"item", "key", "before", "after"}, rows);
+}
+
+template <typename Items, typename Rows>
+void PrintItems(const std::string& kind, const Items& items, const Rows& keys,
+                std::ostream& out) {
+  TextRow head = {kind};
+  for (const auto& key : keys) head.push_back(std::string(key.name));
+  std::vector<TextRow> rows;
+  for (const auto& [id, item] : items) {
+    TextRow row = {id.value};
+    for (const auto& key : keys) row.push_back(TextOf(item, key.value));
+    rows.push_back(std::move(row));
+  }
+  out << FormatTable(head, rows);
+}
+
+std::string CountsOf(const ReleaseNote& note) {
+  const auto count = [](const auto& changes) {
+    return "+" + std::to_string(changes.added.size()) + " ~" +
+           std::to_string(changes.changed.size()) + " -" +
+           std::to_string(changes.withdrawn.size());
+  };
+  return count(note.accounts) + " / " + count(note.services);
+}
+
+}  // namespace
+
+ExitCode RunCommand(const CheckNote& command, OutputForm output,
+                    Surroundings& around) {
+  const auto loaded = LoadNote(command.file, around);
+  if (const auto* code = std::get_if<ExitCode>(&loaded)) return *code;
+  return PostNote(std::get<LoadedNote>(loaded),
+                  std::string(kNotesTarget) + "?check=true", output, "compiles",
+                  around);
+}
+
+ExitCode RunCommand(const ApplyNote& command, OutputForm output,
+                    Surroundings& around) {
+  const auto result = LoadNote(command.file, around);
+  if (const auto* code = std::get_if<ExitCode>(&result)) return *code;
+  const auto& loaded = std::get<LoadedNote>(result);
+  const ReleaseNote& note = loaded.file.note;
+  if (OnlyChanges(note) &&
+      Difference(loaded.base, *Apply(loaded.base, note)).empty()) {
+    around.out << "nothing to change: in force with revision "
+               << loaded.base.revision.value << "\n";
+    return ExitCode::kDone;
+  }
+  const ExitCode code =
+      PostNote(loaded, kNotesTarget, output, "accepted", around);
+  if (code != ExitCode::kUnknownOutcome) return code;
+  return LookUpNote(note, around);
+}
+
+ExitCode RunCommand(const DiffNote& command, OutputForm output,
+                    Surroundings& around) {
+  const auto loaded = LoadNote(command.file, around);
+  if (const auto* code = std::get_if<ExitCode>(&loaded)) return *code;
+  const auto& [base, file] = std::get<LoadedNote>(loaded);
+  if (output == OutputForm::kJson) {
+    around.out << codec::EncodeNote(file.note) << "\n";
+    return ExitCode::kDone;
+  }
+  PrintDifferences(Difference(base, *Apply(base, file.note)), around.out);
+  return ExitCode::kDone;
+}
+
+ExitCode RunCommand(const ShowConfiguration&, OutputForm output,
+                    Surroundings& around) {
+  const auto fetched = FetchConfiguration(around);
+  if (const auto* code = std::get_if<ExitCode>(&fetched)) return *code;
+  const auto& configuration = std::get<Configuration>(fetched);
+  if (output == OutputForm::kJson) {
+    around.out << codec::EncodeConfiguration(configuration) << "\n";
+    return ExitCode::kDone;
+  }
+  around.out << "revision " << configuration.revision.value << "\n\n";
+  PrintItems("account", configuration.accounts, configuration::kAccountKeys,
+             around.out);
+  around.out << "\n";
+  PrintItems("service", configuration.services, configuration::kServiceKeys,
+             around.out);
+  return ExitCode::kDone;
+}
+
+ExitCode RunCommand(const ShowHistory& command, OutputForm output,
+                    Surroundings& around) {
+  const auto body = Fetch(NotesAfter(command.after), around);
+  if (const auto* code = std::get_if<ExitCode>(&body)) return *code;
+  const auto& text = std::get<std::string>(body);
+  if (output == OutputForm::kJson) {
+    around.out << text << "\n";
+    return ExitCode::kDone;
+  }
+  const auto parsed = codec::ParseNotes(text);
+  if (parsed.index() != 0) {
+    return ReportUnreadable(std::get<1>(parsed), around.err);
+  }
+  std::vector<TextRow> rows;
+  for (const ReleaseNote& note : std::get<0>(parsed)) {
+    rows.push_back({std::to_string(note.base.value + 1), note.id.value,
+                    CountsOf(note), note.title});
+  }
+  around.out << FormatTable(
+      {"revision", "note", "accounts / services", "title"}, rows);
+  return ExitCode::kDone;
+}
+
+}  // namespace jasminespar::control
--- /dev/null
+++ b/packages/control/src/note_file.cc
@@ -0,0 +1,296 @@
+#include "jasminespar/control/note_file.h"
+
+#include <algorithm>
+#include <cstdint>
+#include <cstdio>
+#include <optional>
+#include <string_view>
+
+#include "jasminespar/configuration/item_keys.h"
+#include "jasminespar/configuration/value_text.h"
+#include "jasminespar/core/digest.h"
+#include "jasminespar/core/overloaded.h"
+#include "jasminespar/settings/ini.h"
+
+namespace jasminespar::control {
+
+namespace {
+
+using configuration::ClientAccount;
+using configuration::ItemChange;
+using configuration::ReleaseNote;
+using configuration::Service;
+using settings::IniDocument;
+using settings::IniEntry;
+using settings::IniFault;
+using settings::IniSection;
+using settings::SettingFault;
+
+enum class NoteKey : std::uint8_t { kId, kBase, kTitle };
+
+constexpr std::array<configuration::KeyRow<NoteKey>, 3> kNoteKeys{{
+    {NoteKey::kId, "id", "1 to 64 letters, digits, '.', '_' or '-'",
+     "Tells this note from another; default: from text and base."},
+    {NoteKey::kBase, "base", "the revision in force",
+     "Revision on which the note stands; default: the one in force."},
+    {NoteKey::kTitle, "title", "up to 200 bytes", "For the history."},
+}};
+static_assert(IsDense(kNoteKeys));
+
+constexpr std::string_view kNoteSection = "note";
+constexpr std::string_view kAllowedSections =
+    "[note], or add, change or withdraw, then account or service, then a name";
+
+constexpr const auto& KeysOf(const ClientAccount&) {
+  return configuration::kAccountKeys;
+}
+constexpr const auto& KeysOf(const Service&) {
+  return configuration::kServiceKeys;
+}
+
+/// The item that a section adds or changes.
+using Item = std::variant<ClientAccount, Service>;
+
+struct ItemSection {
+  ItemChange change;
+  Item item;
+};
+
+std::string_view TakeWord(std::string_view& text) {
+  const std::size_t space = text.find(' ');
+  const std::string_view word = text.substr(0, space);
+  text.remove_prefix(std::min(word.size() + 1, text.size()));
+  return word;
+}
+
+template <typename Value, typename Id>
+Value ItemInForce(const std::map<Id, Value>& items, const Id& id) {
+  const auto found = items.find(id);
+  if (found != items.end()) return found->second;
+  Value fresh;
+  fresh.id = id;
+  return fresh;
+}
+
+/// @return the item that a section's name stands for, or nothing.
+std::optional<ItemSection> ParseSectionName(
+    std::string_view name, const configuration::Configuration& base) {
+  const auto change =
+      ParseName(configuration::kItemChangeNames, TakeWord(name));
+  const std::string_view kind = TakeWord(name);
+  if (!change || !configuration::IsValidName(name)) return std::nullopt;
+  const std::string id(name);
+  const bool fresh = *change == ItemChange::kAdd;
+  if (kind == "account") {
+    return ItemSection{*change,
+                       fresh ? ItemInForce<ClientAccount, ClientAccountId>(
+                                   {}, ClientAccountId{id})
+                             : ItemInForce(base.accounts, ClientAccountId{id})};
+  }
+  if (kind == "service") {
+    return ItemSection{
+        *change, fresh ? ItemInForce<Service, ServiceId>({}, ServiceId{id})
+                       : ItemInForce(base.services, ServiceId{id})};
+  }
+  return std::nullopt;
+}
+
+template <typename Value, typename Id>
+void AddTo(configuration::Changes<Value, Id>& changes, ItemChange change,
+           const Value& item) {
+  switch (change) {
+    case ItemChange::kAdd:
+      changes.added.push_back(item);
+      break;
+    case ItemChange::kChange:
+      changes.changed.push_back(item);
+      break;
+    case ItemChange::kWithdraw:
+      changes.withdrawn.push_back(item.id);
+      break;
+  }
+}
+
+/// The base belongs to it: the same file on another base is another note.
+std::string IdFromText(const std::string& text, Revision base) {
+  char buffer[32];
+  std::snprintf(buffer, sizeof(buffer), "note-%016llx",
+                static_cast<unsigned long long>(SeededHash(text, base.value)));
+  return buffer;
+}
+
+class Parser {
+ public:
+  Parser(const std::string& text, const std::string& file_name,
+         const configuration::Configuration& base)
+      : base_(base), document_(settings::ParseIni(text)) {
+    file_.file = file_name;
+    file_.note.id = {IdFromText(text, base.revision)};
+    file_.note.base = base.revision;
+  }
+
+  std::variant<NoteFile, std::vector<SettingFault>> Run() {
+    for (const IniFault& fault : document_.faults) {
+      AddFault(fault.line, "", "", fault.message, "");
+    }
+    for (const IniSection& section : document_.sections) TakeSection(section);
+    for (const IniEntry& entry : document_.entries) TakeEntry(entry);
+    for (const std::string& name : order_) {
+      const ItemSection& section = items_.at(name);
+      std::visit(
+          Overloaded{[&](const ClientAccount& account) {
+                       AddTo(file_.note.accounts, section.change, account);
+                     },
+                     [&](const Service& service) {
+                       AddTo(file_.note.services, section.change, service);
+                     }},
+          section.item);
+    }
+    if (faults_.empty()) return std::move(file_);
+    std::stable_sort(faults_.begin(), faults_.end(),
+                     [](const SettingFault& a, const SettingFault& b) {
+                       return a.line < b.line;
+                     });
+    return std::move(faults_);
+  }
+
+ private:
+  void TakeSection(const IniSection& section) {
+    const auto [line, first] =
+        file_.lines.try_emplace({section.name, ""}, section.line);
+    if (!first) {
+      AddFault(
+          section.line, section.name, "",
+          "the section already began in line " + std::to_string(line->second),
+          "");
+      return;
+    }
+    if (section.name == kNoteSection) return;
+    std::optional<ItemSection> item = ParseSectionName(section.name, base_);
+    if (!item) {
+      AddFault(section.line, section.name, "", "unknown section",
+               std::string(kAllowedSections));
+      return;
+    }
+    items_.emplace(section.name, std::move(*item));
+    order_.push_back(section.name);
+  }
+
+  void TakeEntry(const IniEntry& entry) {
+    const auto [line, first] =
+        file_.lines.try_emplace({entry.section, entry.key}, entry.line);
+    if (!first) {
+      AddFault(entry.line, entry.section, entry.key,
+               "already set in line " + std::to_string(line->second), "");
+      return;
+    }
+    if (entry.section == kNoteSection) {
+      TakeNoteEntry(entry);
+      return;
+    }
+    const auto found = items_.find(entry.section);
+    if (found == items_.end()) {
+      if (!entry.section.empty()) return;  // Its section is a fault already.
+      AddFault(entry.line, "", entry.key, "stands before any section",
+               std::string(kAllowedSections));
+      return;
+    }
+    if (found->second.change == ItemChange::kWithdraw) {
+      AddFault(entry.line, entry.section, entry.key,
+               "a withdrawal takes no keys", "");
+      return;
+    }
+    std::visit([&](auto& item) { TakeItemEntry(entry, item); },
+               found->second.item);
+  }
+
+  void TakeNoteEntry(const IniEntry& entry) {
+    const std::optional<NoteKey> key = ParseName(kNoteKeys, entry.key);
+    if (!key) {
+      AddFault(entry.line, entry.section, entry.key, "unknown key",
+               "id, base, title");
+      return;
+    }
+    const std::optional<std::int64_t> number =
+        configuration::ParseNumber(configuration::Unit::kCount, entry.value);
+    bool valid = true;
+    switch (*key) {
+      case NoteKey::kId:
+        file_.note.id = {entry.value};
+        valid = configuration::IsValidName(entry.value);
+        break;
+      case NoteKey::kBase:
+        file_.note.base = {static_cast<std::uint64_t>(number.value_or(0))};
+        valid = number == static_cast<std::int64_t>(base_.revision.value);
+        break;
+      case NoteKey::kTitle:
+        file_.note.title = entry.value;
+        break;
+    }
+    if (valid) return;
+    std::string allowed(RowOf(kNoteKeys, *key).allowed);
+    if (*key == NoteKey::kBase) {
+      allowed += ", " + std::to_string(base_.revision.value);
+    }
+    AddFault(entry.line, entry.section, entry.key,
+             "not a valid value: " + entry.value, allowed);
+  }
+
+  template <typename Value>
+  void TakeItemEntry(const IniEntry& entry, Value& item) {
+    const auto& rows = KeysOf(item);
+    const auto key = ParseName(rows, entry.key);
+    if (!key) {
+      std::string names;
+      for (const auto& row : rows) {
+        names += (names.empty() ? "" : ", ") + std::string(row.name);
+      }
+      AddFault(entry.line, entry.section, entry.key, "unknown key", names);
+      return;
+    }
+    if (SetFromText(item, *key, entry.value) && InRange(item, *key)) return;
+    AddFault(entry.line, entry.section, entry.key,
+             "not a valid value: " + entry.value,
+             std::string(RowOf(rows, *key).allowed));
+  }
+
+  void AddFault(int line, std::string section, std::string key,
+                std::string message, std::string allowed) {
+    faults_.push_back({file_.file, line, std::move(section), std::move(key),
+                       std::move(message), std::move(allowed)});
+  }
+
+  const configuration::Configuration& base_;
+  IniDocument document_;
+  NoteFile file_;
+  std::map<std::string, ItemSection> items_;
+  std::vector<std::string> order_;  // Of the sections in the file.
+  std::vector<SettingFault> faults_;
+};
+
+}  // namespace
+
+std::variant<NoteFile, std::vector<SettingFault>> ParseNoteFile(
+    const std::string& text, const std::string& file_name,
+    const configuration::Configuration& base) {
+  return Parser(text, file_name, base).Run();
+}
+
+SettingFault Locate(const NoteFile& file,
+                    const configuration::NoteFault& fault) {
+  SettingFault located{file.file,     0, fault.section, fault.key,
+                       fault.message, ""};
+  for (const auto& [name, line] : file.lines) {
+    const auto& [section, key] = name;
+    // A fault of a whole guarantee names "account school" without the change.
+    if (!section.ends_with(fault.section)) continue;
+    if (key == fault.key) {
+      located.line = line;
+      break;
+    }
+    if (key.empty()) located.line = line;
+  }
+  return located;
+}
+
+}  // namespace jasminespar::control
--- /dev/null
+++ b/packages/control/src/text_table.cc
@@ -0,0 +1,86 @@
+#include "jasminespar/control/text_table.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace jasminespar::control {
+
+namespace {
+
+using Json = nlohmann::json;
+
+std::string Printable(std::string text) {
+  std::replace_if(
+      text.begin(), text.end(),
+      [](unsigned char c) { return c < ' ' || c == 0x7f; }, '?');
+  return text;
+}
+
+void AppendLine(std::string& text, const TextRow& row,
+                const std::vector<std::size_t>& widths) {
+  for (std::size_t i = 0; i < row.size(); ++i) {
+    std::string cell = Printable(row[i]);
+    if (i + 1 < row.size()) cell.resize(widths[i] + 2, ' ');
+    text += cell;
+  }
+  text += '\n';
+}
+
+std::string TextOf(const Json& value) {
+  if (value.is_string()) return value.get<std::string>();
+  return value.dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
+const Json* FindList(const Json& json) {
+  if (!json.is_object()) return nullptr;
+  for (const auto& member : json) {
+    if (member.is_array() && !member.empty() && member[0].is_object()) {
+      return &member;
+    }
+  }
+  return nullptr;
+}
+
+/// "id" first, the others by name.
+TextRow ColumnsOf(const Json& list) {
+  TextRow columns;
+  for (const auto& [name, value] : list[0].items()) columns.push_back(name);
+  const auto id = std::find(columns.begin(), columns.end(), "id");
+  if (id != columns.end()) std::rotate(columns.begin(), id, id + 1);
+  return columns;
+}
+
+}  // namespace
+
+std::string FormatTable(const TextRow& head, const std::vector<TextRow>& rows) {
+  std::vector<std::size_t> widths(head.size());
+  for (std::size_t i = 0; i < head.size(); ++i) {
+    widths[i] = head[i].size();
+    for (const TextRow& row : rows) {
+      widths[i] = std::max(widths[i], row[i].size());
+    }
+  }
+  std::string text;
+  AppendLine(text, head, widths);
+  for (const TextRow& row : rows) AppendLine(text, row, widths);
+  return text;
+}
+
+std::string TableOfJson(std::string_view text) {
+  const Json json = Json::parse(text, nullptr, false);
+  const Json* list = FindList(json);
+  if (list == nullptr) return std::string(text) + "\n";
+  const TextRow columns = ColumnsOf(*list);
+  std::vector<TextRow> rows;
+  for (const Json& element : *list) {
+    TextRow row;
+    for (const std::string& column : columns) {
+      const bool there = element.is_object() && element.contains(column);
+      row.push_back(there ? TextOf(element[column]) : "");
+    }
+    rows.push_back(std::move(row));
+  }
+  return FormatTable(columns, rows);
+}
+
+}  // namespace jasminespar::control
--- a/packages/settings/include/jasminespar/settings/ini.h
+++ b/packages/settings/include/jasminespar/settings/ini.h
@@ -21,6 +21,13 @@
   auto operator<=>(const IniEntry&) const = default;
 };
 
+/// Header of a section, also of one without entries.
+struct IniSection {
+  std::string name;
+  int line = 0;
+  auto operator<=>(const IniSection&) const = default;
+};
+
 /// A line that is neither a section, an entry, a comment nor empty.
 struct IniFault {
   int line = 0;
@@ -28,8 +35,9 @@
   auto operator<=>(const IniFault&) const = default;
 };
 
-/// Both lists in the order of the text; repeated keys are all kept.
+/// Each list in the order of the text; repetitions are all kept.
 struct IniDocument {
+  std::vector<IniSection> sections;
   std::vector<IniEntry> entries;
   std::vector<IniFault> faults;
 };
--- a/packages/settings/src/daemon_settings.cc
+++ b/packages/settings/src/daemon_settings.cc
@@ -183,7 +183,8 @@
   std::string text = fault.file;
   if (fault.line > 0) text += ":" + std::to_string(fault.line);
   text += ": ";
-  if (!fault.key.empty()) text += "[" + fault.section + "] " + fault.key + ": ";
+  if (!fault.section.empty()) text += "[" + fault.section + "] ";
+  if (!fault.key.empty()) text += fault.key + ": ";
   text += fault.message;
   if (!fault.allowed.empty()) text += "; allowed: " + fault.allowed;
   return text;
--- a/packages/settings/src/ini.cc
+++ b/packages/settings/src/ini.cc
@@ -48,6 +48,14 @@
   return {};
 }
 
+/// The library reports entries only, so headers are recorded here.
+void RecordSection(LineFeed& feed, std::string_view line) {
+  if (line.empty() || line[0] != '[') return;
+  const std::size_t end = line.find(']');
+  feed.document.sections.push_back(
+      {std::string(line.substr(1, end - 1)), feed.line});
+}
+
 char* ReadLine(char* buffer, int size, void* context) {
   auto& feed = *static_cast<LineFeed*>(context);
   if (feed.rest.empty()) return nullptr;
@@ -57,6 +65,7 @@
     feed.document.faults.push_back({feed.line, std::string(message)});
     line = {};
   }
+  RecordSection(feed, line);
   const std::size_t length =
       std::min(line.size(), static_cast<std::size_t>(size) - 2);
   std::memcpy(buffer, line.data(), length);
