--- a/packages/standins/include/jasminespar/standins/endpoint_model.h
+++ b/packages/standins/include/jasminespar/standins/endpoint_model.h
@@ -88,6 +88,9 @@
   /// @return when to call Advance next, or nothing.
   [[nodiscard]] std::optional<TimePoint> NextEvent() const;
 
+  /// @return the accelerators held or running; bit i is accelerator i.
+  [[nodiscard]] std::uint64_t Occupied() const;
+
   /// Loses all tasks, as a restart of the worker does.
   void Restart(TimePoint now);
 
@@ -123,7 +126,6 @@
   void End(Task& task, cell::TaskState state, TimePoint now);
   void SaveProgress(const Task& task, TimePoint now);
   void EndLapsedLeases(TimePoint now);
-  [[nodiscard]] std::uint64_t Occupied() const;
 
   EndpointSettings settings_;
   Checkpoints& checkpoints_;
--- a/packages/standins/include/jasminespar/standins/endpoint_service.h
+++ b/packages/standins/include/jasminespar/standins/endpoint_service.h
@@ -45,6 +45,9 @@
   /// @return every start and accepted order so far.
   [[nodiscard]] nlohmann::json Runs() const;
 
+  /// @return accelerators of the worker and how many are occupied.
+  [[nodiscard]] nlohmann::json Occupancy() const;
+
  private:
   boost::asio::awaitable<http::Response> Handle(http::Request request);
   boost::asio::awaitable<http::Response> Report(http::Request request);
--- /dev/null
+++ b/packages/standins/include/jasminespar/standins/load_summary.h
@@ -0,0 +1,47 @@
+/// @file
+/// Figures of a load, by client account.
+
+#ifndef JASMINESPAR_STANDINS_LOAD_SUMMARY_H_
+#define JASMINESPAR_STANDINS_LOAD_SUMMARY_H_
+
+#include <cstddef>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "jasminespar/core/time.h"
+#include "jasminespar/standins/call_record.h"
+
+namespace jasminespar::standins {
+
+/// Figures of one client account.
+struct AccountSummary {
+  std::size_t answered = 0;
+  std::map<std::string, std::size_t> refused;  ///< By reason.
+  std::size_t without_outcome = 0;
+  std::vector<Duration> completions;  ///< Of answered calls, rising.
+  std::vector<Duration> short_waits;  ///< Completion less run time, rising.
+};
+
+/// Single-accelerator calls up to this run time count as short.
+inline constexpr Duration kShortRunTime = 200ms;
+
+/// @return the figures by account; "all" holds the sum.
+[[nodiscard]] std::map<std::string, AccountSummary> Summarise(
+    const std::vector<CallRecord>& records);
+
+/// @param rising sorted.
+/// @param share 0 to 1.
+/// @return the value at that share, zero when there is none.
+[[nodiscard]] Duration Percentile(const std::vector<Duration>& rising,
+                                  double share);
+
+/// @param fragmentation mean share over the run.
+/// @return the table, one line for each account.
+[[nodiscard]] std::string FormatTable(
+    const std::map<std::string, AccountSummary>& accounts,
+    double fragmentation);
+
+}  // namespace jasminespar::standins
+
+#endif  // JASMINESPAR_STANDINS_LOAD_SUMMARY_H_
--- a/packages/standins/include/jasminespar/standins/site.h
+++ b/packages/standins/include/jasminespar/standins/site.h
@@ -74,6 +74,10 @@
   /// @return the workers' own records: `GET /admin/runs` of all of them.
   [[nodiscard]] nlohmann::json Runs() const;
 
+  /// @return of the free accelerators, the share on partly occupied workers;
+  ///     0 when none is free.
+  [[nodiscard]] double Fragmentation() const;
+
  private:
   void StartStandins();
   void Start(const std::string& name,
--- a/packages/standins/programs/standin_workers.cc
+++ b/packages/standins/programs/standin_workers.cc
@@ -54,9 +54,13 @@
 }
 
 boost::asio::awaitable<jasminespar::http::Response> ReportAll(
+    jasminespar::http::Request request,
     const std::vector<std::unique_ptr<EndpointService>>& services) {
+  const bool occupancy = request.target == "/admin/occupancy";
   nlohmann::json workers = nlohmann::json::array();
-  for (const auto& service : services) workers.push_back(service->Runs());
+  for (const auto& service : services) {
+    workers.push_back(occupancy ? service->Occupancy() : service->Runs());
+  }
   nlohmann::json body = nlohmann::json::object();
   body["workers"] = std::move(workers);
   co_return jasminespar::standins::JsonResponse(200, body);
@@ -81,9 +85,9 @@
         duty.context(), "127.0.0.1", settings.admin_port,
         jasminespar::http::ServerLimits{},
         [&services](
-            const jasminespar::http::Request&,
+            jasminespar::http::Request request,
             const std::shared_ptr<jasminespar::http::ConnectionState>&) {
-          return ReportAll(services);
+          return ReportAll(std::move(request), services);
         },
         jasminespar::standins::RejectionResponse);
     admin->Start();
--- a/packages/standins/src/endpoint_service.cc
+++ b/packages/standins/src/endpoint_service.cc
@@ -1,5 +1,6 @@
 #include "jasminespar/standins/endpoint_service.h"
 
+#include <bit>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <charconv>
@@ -261,4 +262,10 @@
           {"orders", std::move(orders)}};
 }
 
+json EndpointService::Occupancy() const {
+  return {{"worker", worker().value},
+          {"accelerators", model_.settings().accelerators},
+          {"occupied", std::popcount(model_.Occupied())}};
+}
+
 }  // namespace jasminespar::standins
--- a/packages/standins/src/site.cc
+++ b/packages/standins/src/site.cc
@@ -214,4 +214,19 @@
   return *body;
 }
 
+double Site::Fragmentation() const {
+  const auto body =
+      FetchJson(plan_.workers_admin_port, "/admin/occupancy", kAdminTimeout);
+  if (!body) return 0;
+  int free = 0;
+  int fragmented = 0;
+  for (const json& worker : body->at("workers")) {
+    const int occupied = worker.at("occupied");
+    const int rest = worker.at("accelerators").get<int>() - occupied;
+    free += rest;
+    if (occupied > 0) fragmented += rest;
+  }
+  return free == 0 ? 0 : static_cast<double>(fragmented) / free;
+}
+
 }  // namespace jasminespar::standins
--- a/packages/standins/src/site_plan.cc
+++ b/packages/standins/src/site_plan.cc
@@ -65,6 +65,13 @@
           {"target_port", target}};
 }
 
+json AccountOf(int number, double weight, int workers_each) {
+  json guarantee = {{"level", "worker"}, {"count", workers_each}};
+  return {{"id", "account-" + std::to_string(number)},
+          {"weight", weight},
+          {"guarantees", json::array({std::move(guarantee)})}};
+}
+
 }  // namespace
 
 std::uint16_t PortsOf(SiteKind kind) {
@@ -196,16 +203,25 @@
   return text;
 }
 
-json ReleaseNoteOf(int accounts, int workers_each) {
+json FirstNoteOf(int accounts, int workers_each) {
   json added = json::array();
   for (int i = 0; i < accounts; ++i) {
-    added.push_back({{"id", "account-" + std::to_string(i)},
-                     {"weight", 1.0},
-                     {"guarantees", json::array({{{"level", "worker"},
-                                                  {"count", workers_each}}})}});
+    added.push_back(AccountOf(i, 1.0, workers_each));
   }
-  return {{"accounts", {{"added", std::move(added)}}},
-          {"services", {{"added", json::array({{{"id", "match"}}})}}}};
+  json service = {{"id", "match"}};
+  return {{"id", "first"},
+          {"base", 0},
+          {"title", "accounts and service of the stand-in site"},
+          {"accounts", {{"added", std::move(added)}}},
+          {"services", {{"added", json::array({std::move(service)})}}}};
+}
+
+json WeightNoteOf(const std::string& id, std::uint64_t base, int account,
+                  double weight, int workers_each) {
+  json changed = AccountOf(account, weight, workers_each);
+  return {{"id", id},
+          {"base", base},
+          {"accounts", {{"changed", json::array({std::move(changed)})}}}};
 }
 
 }  // namespace jasminespar::standins
