--- /dev/null
+++ b/tests/site/running_site.h
@@ -0,0 +1,72 @@
+/// @file
+/// A small site of real processes that is ready for calls.
+
+#ifndef JASMINESPAR_TESTS_SITE_RUNNING_SITE_H_
+#define JASMINESPAR_TESTS_SITE_RUNNING_SITE_H_
+
+#include <catch2/catch.hpp>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "jasminespar/standins/load.h"
+#include "jasminespar/standins/promises.h"
+#include "jasminespar/standins/site.h"
+
+namespace jasminespar::standins {
+
+inline constexpr Duration kReadyTimeout = 30s;
+inline constexpr int kTestAccounts = 2;
+
+struct RunningSite {
+  RunningSite() : site(SiteOptions{}) {
+    site.StartAllInstances();
+    std::string fault = "no instance answers";
+    std::optional<std::uint64_t> revision;
+    for (int i = 0; !revision && i < 100; ++i) {
+      revision = site.ApplyReleaseNote(FirstNoteOf(kTestAccounts, 1), fault);
+      if (!revision) std::this_thread::sleep_for(100ms);
+    }
+    INFO(fault);
+    REQUIRE(revision);
+    REQUIRE(site.WaitUntilAllReady(kReadyTimeout));
+  }
+
+  [[nodiscard]] LoadSettings MakeLoadSettings() const {
+    LoadSettings settings;
+    settings.send_timeout = 10s;
+    settings.patience = 40s;
+    for (const PlannedInstance& instance : site.plan().instances) {
+      settings.caller_ports.push_back(instance.caller_port);
+    }
+    return settings;
+  }
+
+  /// Fails the test for each promise that is breached.
+  void CheckPromisesOf(const std::vector<CallRecord>& records) const {
+    const auto breaches = CheckPromises(records, ParseRuns(site.Runs()),
+                                        SiteOptions{}.worker_lease + 5s);
+    for (const Breach& breach : breaches) {
+      FAIL_CHECK(RowOf(kPromiseNames, breach.promise).name << ": "
+                                                           << breach.detail);
+    }
+  }
+
+  Site site;
+};
+
+/// @return a short mix without a straggler.
+inline MixSettings SmallMix(std::uint64_t seed, std::size_t calls,
+                            Duration span) {
+  MixSettings mix;
+  mix.seed = seed;
+  mix.calls = calls;
+  mix.span = span;
+  mix.accounts = kTestAccounts;
+  mix.straggler = false;
+  return mix;
+}
+
+}  // namespace jasminespar::standins
+
+#endif  // JASMINESPAR_TESTS_SITE_RUNNING_SITE_H_
--- a/tests/standins/site_test.cc
+++ b/tests/standins/site_test.cc
@@ -5,6 +5,7 @@
 #include <set>
 
 #include "jasminespar/standins/http_exchange.h"
+#include "jasminespar/standins/site_fault.h"
 
 namespace jasminespar::standins {
 namespace {
@@ -48,6 +49,18 @@
   CHECK_FALSE(FetchJson(plan.platform_port, "/instances", 100ms));
 }
 
+TEST_CASE("the same seed plans the same faults, all over before the end") {
+  const SitePlan plan = PlanSite(SiteKind::kSmall, 10'000);
+  const auto first = PlanFaults(plan, 7, 60s);
+  const auto second = PlanFaults(plan, 7, 60s);
+  REQUIRE_FALSE(first.empty());
+  REQUIRE(first.size() == second.size());
+  for (std::size_t i = 0; i < first.size(); ++i) {
+    CHECK(Describe(first[i].fault, plan) == Describe(second[i].fault, plan));
+    CHECK(first[i].at + first[i].lasts < 60s);
+  }
+}
+
 TEST_CASE("a process is stopped, continued, killed and collected") {
   Process process({"/bin/sleep", "60"}, "/dev/null");
   process.Signal(SIGSTOP);
