Give instances of a site a hold and a report wait under the lease

Cause: jasmined refused the settings: hold (3 s) not under worker_lease (3 s). Ruled out: a longer lease; the tests wait for lapses. Change: hold 1 s and report_wait 1 s in the site's settings. Before: no instance started. Conclusion: the demo runs with jasmined.

--- a/packages/standins/src/site.cc
+++ b/packages/standins/src/site.cc
@@ -104,7 +104,8 @@
   std::ofstream(base + ".ini") << SettingsOf(
       planned, "[cells]\nworker_lease = " +
                    std::to_string(ToMilliseconds(options_.worker_lease)) +
-                   "ms\n" + options_.extra_settings);
+                   "ms\nhold = 1s\n[workers]\nreport_wait = 1s\n" +
+                   options_.extra_settings);
   instances_.erase(index);
   instances_.emplace(index, Process({JASMINESPAR_BINARY_DIR "/apps/jasmined",
                                      "--settings", base + ".ini"},
