--- a/packages/standins/src/site.cc
+++ b/packages/standins/src/site.cc
@@ -104,7 +104,8 @@
   std::ofstream(base + ".ini") << SettingsOf(
       planned, "[cells]\nworker_lease = " +
                    std::to_string(ToMilliseconds(options_.worker_lease)) +
-                   "ms\n" + options_.extra_settings);
+                   "ms\nhold = 1s\n[workers]\nreport_wait = 1s\n" +
+                   options_.extra_settings);
   instances_.erase(index);
   instances_.emplace(index, Process({JASMINESPAR_BINARY_DIR "/apps/jasmined",
                                      "--settings", base + ".ini"},
@@ -214,4 +215,19 @@
   return *body;
 }
 
+double Site::Fragmentation() const {
+  const auto body =
+      FetchJson(plan_.workers_admin_port, "/admin/occupancy", kAdminTimeout);
+  if (!body) return 0;
+  int free = 0;
+  int fragmented = 0;
+  for (const json& worker : body->at("workers")) {
+    const int occupied = worker.at("occupied");
+    const int rest = worker.at("accelerators").get<int>() - occupied;
+    free += rest;
+    if (occupied > 0) fragmented += rest;
+  }
+  return free == 0 ? 0 : static_cast<double>(fragmented) / free;
+}
+
 }  // namespace jasminespar::standins
