--- a/packages/membership/include/jasminespar/membership/ownership.h
+++ b/packages/membership/include/jasminespar/membership/ownership.h
@@ -86,6 +86,11 @@
   Duration unknown_owner_after = 2s;
   /// A row whose live owner does not say that it owns the cell, likewise.
   Duration silent_owner_after = 10s;
+  /// An instance that released a cell leaves it to the others for so long.
+  Duration reclaim_after = 5s;
+  /// A cell of another data centre must be without a candidate of its own, by
+  /// heartbeats and by the platform's list, for so long.
+  Duration remote_after = 10s;
   Duration plan_interval = 200ms;
   Duration row_fresh = 1s;  ///< Older rows are read again before a claim.
   /// A better-ranked instance must be live so long before it gets a cell.
@@ -154,11 +159,18 @@
   /// Shutdown: yields every cell and claims none from now on.
   void BeginLeave() noexcept { leaving_ = true; }
 
+  /// The shutdown was called off.
+  void CancelLeave() noexcept { leaving_ = false; }
+
   /// @return the cells owned now, each under the epoch that was won.
   [[nodiscard]] const std::map<CellId, HeldCell>& held() const noexcept {
     return held_;
   }
 
+  /// @return the epoch of the cell's row as last read or written; zero when
+  ///     it is not known.
+  [[nodiscard]] Epoch RowEpoch(const CellId& cell) const;
+
   /// @return since when the store has failed, or nothing while it answers.
   [[nodiscard]] std::optional<TimePoint> store_down_since() const noexcept {
     return store_down_since_;
@@ -193,7 +205,8 @@
   [[nodiscard]] bool ShouldYield(const Candidates& candidates,
                                  const CellId& cell, CellRecord& record,
                                  TimePoint now) const;
-  [[nodiscard]] Duration ClaimDelay(const CellId& cell, Vacancy vacancy,
+  [[nodiscard]] Duration ClaimDelay(const View& view, const CellId& cell,
+                                    const CellRecord& record,
                                     std::size_t rank) const;
   void ReadOrReadBack(const CellId& cell, CellRecord& record,
                       Actions& actions) const;
--- a/packages/membership/include/jasminespar/membership/vacancy.h
+++ b/packages/membership/include/jasminespar/membership/vacancy.h
@@ -15,6 +15,7 @@
 /// Why a cell needs a new owner, or that it needs none.
 enum class Vacancy : std::uint8_t {
   kNone,
+  kOutdatedRow,
   kReleased,
   kOwnRow,
   kSuspectedOwner,
@@ -22,8 +23,10 @@
   kSilentOwner,
 };
 
-inline constexpr NameTable<Vacancy, 6> kVacancyNames{{
+inline constexpr NameTable<Vacancy, 7> kVacancyNames{{
     {Vacancy::kNone, "none", "A living owner serves the cell."},
+    {Vacancy::kOutdatedRow, "outdated_row",
+     "Heartbeats told of a later epoch than the row that was read."},
     {Vacancy::kReleased, "released", "The row names no owner."},
     {Vacancy::kOwnRow, "own_row",
      "The row names this instance, which does not hold the cell."},
--- a/packages/membership/src/ownership.cc
+++ b/packages/membership/src/ownership.cc
@@ -82,9 +82,12 @@
                                  const CellId& cell, TimePoint now,
                                  Actions& actions) {
   if (leaving_ || !StoreUsable(now)) return;
-  const std::optional<std::size_t> rank = candidates.RankOf(cell, self_);
-  if (!rank) return;
   CellRecord& record = records_[cell];
+  const std::optional<std::size_t> rank = candidates.RankOf(cell, self_);
+  if (!rank) {
+    record.vacancy = Vacancy::kNone;
+    return;
+  }
   if (record.pending != Pending::kNone) return;
   if (!record.row || record.read_back) {
     ReadOrReadBack(cell, record, actions);
@@ -97,36 +100,46 @@
   }
   if (vacancy == Vacancy::kNone && !provisional_.contains(cell)) return;
   const bool due =
-      now - record.vacancy_since >= ClaimDelay(cell, vacancy, *rank);
+      now - record.vacancy_since >= ClaimDelay(view, cell, record, *rank);
   const Duration row_age = now - record.row_read;
   // A living owner that no longer names the cell may have released it.
-  const bool watch = vacancy == Vacancy::kSilentOwner &&
-                     row_age > settings_.row_fresh * (1 + *rank);
+  const bool watch =
+      (vacancy == Vacancy::kSilentOwner || vacancy == Vacancy::kOutdatedRow) &&
+      row_age > settings_.row_fresh * (1 + *rank);
   if (watch || (due && row_age > settings_.row_fresh)) {
     ReadOrReadBack(cell, record, actions);
-  } else if (due) {
+  } else if (due && vacancy != Vacancy::kOutdatedRow) {
     Claim(cell, record, actions);
   }
 }
 
-Duration OwnershipPlanner::ClaimDelay(const CellId& cell, Vacancy vacancy,
+Duration OwnershipPlanner::ClaimDelay(const View& view, const CellId& cell,
+                                      const CellRecord& record,
                                       std::size_t rank) const {
   if (provisional_.contains(cell)) return Duration::zero();
-  const Duration stagger =
-      settings_.claim_stagger * static_cast<Duration::rep>(rank);
-  switch (vacancy) {
+  const bool remote = configuration::DataCentreOf(cell) != view.data_centre;
+  const Duration delay =
+      settings_.claim_stagger * static_cast<Duration::rep>(rank) +
+      (remote ? settings_.remote_after : Duration::zero());
+  switch (record.vacancy) {
     case Vacancy::kOwnRow:
       return Duration::zero();
     case Vacancy::kUnknownOwner:
-      return settings_.unknown_owner_after + stagger;
+      return delay + settings_.unknown_owner_after;
     case Vacancy::kSilentOwner:
-      return settings_.silent_owner_after + stagger;
+      return delay + settings_.silent_owner_after;
+    case Vacancy::kReleased: {
+      const bool released_here =
+          record.row->version != 0 &&
+          record.row->row.claim_id == record.written.claim_id;
+      return released_here ? std::max(delay, settings_.reclaim_after) : delay;
+    }
     case Vacancy::kNone:
-    case Vacancy::kReleased:
+    case Vacancy::kOutdatedRow:
     case Vacancy::kSuspectedOwner:
       break;
   }
-  return stagger;
+  return delay;
 }
 
 void OwnershipPlanner::ReadOrReadBack(const CellId& cell, CellRecord& record,
@@ -226,13 +239,13 @@
     record.vacancy = Vacancy::kNone;
   }
   record.row = row;
-  record.row->row.cell = cell;
   record.row_read = now;
   const auto held = held_.find(cell);
   if (held != held_.end() && row.version != held->second.version) {
     Lose(cell, actions);
     record.row = row;
   }
+  record.row->row.cell = cell;
 }
 
 void OwnershipPlanner::Lose(const CellId& cell, Actions& actions) {
@@ -281,6 +294,12 @@
   if (held_.contains(cell)) records_[cell].handover_finished = true;
 }
 
+Epoch OwnershipPlanner::RowEpoch(const CellId& cell) const {
+  const auto found = records_.find(cell);
+  if (found == records_.end() || !found->second.row) return Epoch{};
+  return found->second.row->row.epoch;
+}
+
 void OwnershipPlanner::NoteStoreAnswers() noexcept {
   store_down_since_.reset();
   store_failures_ = 0;
@@ -292,7 +311,9 @@
 
 std::uint64_t OwnershipPlanner::NextClaimId() {
   ++claims_;
-  return SeededHash(self_.value + "/" + std::to_string(claims_), incarnation_);
+  return DigestOf(self_.value + "/" + std::to_string(incarnation_) + "/" +
+                  std::to_string(claims_))
+      .value;
 }
 
 std::size_t OwnershipPlanner::Handovers() const noexcept {
--- a/packages/membership/src/provisional.cc
+++ b/packages/membership/src/provisional.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <string>
 #include <utility>
 
 #include "jasminespar/core/digest.h"
@@ -26,8 +27,11 @@
       std::numeric_limits<std::uint32_t>::max() / kRound;
   const std::uint32_t next_round = highest.provisional / kRound + 1;
   if (next_round > kLastRound) return std::nullopt;
-  const auto slot = static_cast<std::uint32_t>(
-      SeededHash(instance.value, incarnation) % kRound);
+  // Hashed as one text: XXH3 of short texts whose seeds differ by little
+  // gives equal values.
+  const Digest identity =
+      DigestOf(instance.value + "/" + std::to_string(incarnation));
+  const auto slot = static_cast<std::uint32_t>(identity.value % kRound);
   return Epoch{highest.durable, next_round * kRound + slot};
 }
 
--- a/packages/membership/src/vacancy.cc
+++ b/packages/membership/src/vacancy.cc
@@ -15,6 +15,10 @@
 
 Vacancy VacancyOf(const View& view, const OwnershipRow& row) {
   if (IsServed(view, row)) return Vacancy::kNone;
+  const CellOwner* known = view.FindCell(row.cell);
+  if (known != nullptr && known->epoch.durable > row.epoch.durable) {
+    return Vacancy::kOutdatedRow;
+  }
   if (row.owner.value.empty()) return Vacancy::kReleased;
   if (row.owner == view.self) return Vacancy::kOwnRow;
   const Member* owner = view.FindMember(row.owner);
--- a/tests/membership/provisional_test.cc
+++ b/tests/membership/provisional_test.cc
@@ -1,6 +1,7 @@
 #include "jasminespar/membership/provisional.h"
 
 #include <catch2/catch.hpp>
+#include <set>
 
 namespace jasminespar::membership {
 namespace {
@@ -70,6 +71,16 @@
   CHECK_FALSE(NextProvisionalEpoch(epoch, InstanceId{"a1"}, 1).has_value());
 }
 
+TEST_CASE("Neighbouring instances and incarnations share no epoch") {
+  std::set<Epoch> epochs;
+  for (int i = 10; i < 99; ++i) {
+    const InstanceId id{"b" + std::to_string(i)};
+    const auto incarnation = static_cast<std::uint64_t>(i + 1);
+    epochs.insert(*NextProvisionalEpoch(Epoch{5, 0}, id, incarnation));
+  }
+  CHECK(epochs.size() == 89);
+}
+
 TEST_CASE("An attempt that found too few workers does not use up a round") {
   ProvisionalPlanner planner({}, InstanceId{"a1"}, 1);
   const View view = LoneView();
