--- a/packages/cell/src/admission.cc
+++ b/packages/cell/src/admission.cc
@@ -13,6 +13,7 @@
 
 /// Retries at the next owner should not come before it can exist.
 constexpr Duration kHandoverRetry = 250ms;
+constexpr Duration kFullRetry = 1s;
 
 void Refuse(Context& context, ReplyToken token, Reason reason, Verdict verdict,
             Duration retry_after = {}) {
@@ -60,26 +61,31 @@
   Rearm(context, call);
 }
 
+/// @return what is known of runs of a call that is not in the table.
+Verdict EarlierVerdict(const Context& context, const CallId& id) {
+  const bool may_have_run =
+      context.orphans.contains(id) || context.earlier_attempts.contains(id);
+  return may_have_run ? Verdict::kMayHaveRun : Verdict::kNotRun;
+}
+
 /// @return why a call that is not known here is refused, or nothing.
 std::optional<Refusal> RefusalOfNew(const Context& context,
                                     const CallRequest& request) {
-  if (context.calls.FindForgotten(request.id) != nullptr) {
-    const Verdict verdict = context.calls.FindForgotten(request.id)->verdict;
-    return Refusal{Reason::kRetentionPassed, verdict, {}, {}};
+  const ForgottenCall* forgotten = context.calls.FindForgotten(request.id);
+  if (forgotten != nullptr) {
+    return Refusal{Reason::kRetentionPassed, forgotten->verdict, {}, {}};
   }
+  const Verdict earlier = EarlierVerdict(context, request.id);
   if (context.handing_over) {
-    return Refusal{Reason::kShuttingDown, Verdict::kNotRun, kHandoverRetry, {}};
+    return Refusal{Reason::kShuttingDown, earlier, kHandoverRetry, {}};
   }
   if (context.calls.size() >= context.settings.max_live_calls) {
-    return Refusal{Reason::kQueueFull, Verdict::kNotRun, 1s, {}};
+    return Refusal{Reason::kQueueFull, earlier, kFullRetry, {}};
   }
-  const bool runs_as_idempotent =
+  const bool ran_as_idempotent =
       request.idempotence == Idempotence::kNonIdempotent &&
-      (context.orphans.contains(request.id) ||
-       context.earlier_attempts.contains(request.id));
-  if (runs_as_idempotent) {
-    return Refusal{Reason::kKeyReused, Verdict::kMayHaveRun, {}, {}};
-  }
+      earlier != Verdict::kNotRun;
+  if (ran_as_idempotent) return Refusal{Reason::kKeyReused, earlier, {}, {}};
   return std::nullopt;
 }
 
@@ -96,6 +102,10 @@
     call.attempt = earlier->second;
     call.seen = Verdict::kMayHaveRun;
   }
+  // Until the workers have reported, an earlier owner may have run it.
+  if (context.recovering && IsIdempotent(call)) {
+    call.seen = Verdict::kMayHaveRun;
+  }
   const bool joins_run = context.orphans.contains(call.request.id);
   if (!context.recovering && !joins_run) {
     if (std::optional<Refusal> refusal = Enqueue(context, call)) {
@@ -163,8 +173,7 @@
   Rearm(context, call);
 }
 
-/// @return whether the call was given back and is gone.
-bool GiveBack(Context& context, Call& call) {
+void GiveBack(Context& context, Call& call) {
   Withdraw(context, call);
   call.enqueue_at.reset();
   const bool promised = IsPromised(call.request);
@@ -175,12 +184,14 @@
                      {}});
   if (promised) {
     Rearm(context, call);
-    return false;
+    return;
   }
   const CallId id = call.request.id;
+  if (VerdictOf(call) != Verdict::kNotRun) {
+    NoteEarlierAttempt(context, id, call.attempt);
+  }
   context.timers.Set(id, std::nullopt);
   context.calls.Erase(id);
-  return true;
 }
 
 }  // namespace
--- a/packages/cell/src/call_table.cc
+++ b/packages/cell/src/call_table.cc
@@ -39,7 +39,12 @@
     forgotten.verdict = Verdict::kRan;
   }
   Erase(id);
-  forgotten_.insert_or_assign(id, std::move(forgotten));
+  Remember(id, std::move(forgotten), until);
+}
+
+void CallTable::Remember(const CallId& id, ForgottenCall call,
+                         TimePoint until) {
+  forgotten_.insert_or_assign(id, std::move(call));
   forgotten_order_.push_back({until, id});
 }
 
--- a/packages/cell/src/call_table.h
+++ b/packages/cell/src/call_table.h
@@ -31,6 +31,8 @@
 
   /// Drops an ended call but remembers its id until `until`.
   void Forget(const CallId& id, TimePoint until);
+  /// Remembers the id of a call that an earlier owner has dropped.
+  void Remember(const CallId& id, ForgottenCall call, TimePoint until);
   [[nodiscard]] const ForgottenCall* FindForgotten(const CallId& id) const;
   void PurgeForgotten(TimePoint now, std::size_t most);
 
--- a/packages/cell/src/orphans.cc
+++ b/packages/cell/src/orphans.cc
@@ -127,8 +127,10 @@
   call.placement = std::move(orphan.placement);
   call.phase = CallPhase::kActive;
   call.enqueue_at.reset();
-  if (!call.placement.parts.empty()) {
-    // The scheduler now learns whose run it is.
+  const bool reclaimed = call.run->phase() == GangPhase::kStopping;
+  if (!call.placement.parts.empty() && !reclaimed) {
+    // The scheduler now learns whose run it is. Of a run that is stopping it
+    // may have promised the accelerators to another call already.
     context.scheduler.Release(id, context.now.steady);
     context.scheduler.Adopt(ToJob(call), call.placement, context.now.steady);
   }
--- a/packages/cell/src/recovery.cc
+++ b/packages/cell/src/recovery.cc
@@ -61,9 +61,12 @@
     NoteEarlierAttempt(context, id, replayed.attempt);
     return;
   }
-  const bool forgotten =
-      replayed.ended && replayed.ended->forget_at <= context.now.wall;
-  if (forgotten) return;
+  if (replayed.ended && replayed.ended->forget_at <= context.now.wall) {
+    context.calls.Remember(
+        id, {replayed.accepted->request.key.account, Verdict::kMayHaveRun},
+        context.now.steady + context.settings.default_retention);
+    return;
+  }
   Call& call = context.calls.Insert(std::move(replayed.accepted->request));
   call.deadline_wall = replayed.accepted->deadline;
   call.deadline = SteadyOf(call.deadline_wall, context.now);
@@ -106,6 +109,16 @@
   if (context.workers.AllReported() || time_is_up) Finish(context);
 }
 
+/// Offers a call for which no worker reported a run.
+void Recovery::Offer(Context& context, Call& call) {
+  const bool submitted_here = call.accepted.value > 0;
+  const bool known_earlier = context.earlier_attempts.contains(call.request.id);
+  if (submitted_here && !known_earlier && context.workers.AllReported()) {
+    call.seen = Verdict::kNotRun;
+  }
+  if (!call.enqueue_at && !context.handing_over) OfferAgain(context, call);
+}
+
 std::map<CallId, Recovery::Tasks> Recovery::TakeTasks(const Context& context) {
   std::map<CallId, Tasks> tasks;
   for (auto& [worker, reported] : std::exchange(reports_, {})) {
@@ -129,8 +142,7 @@
   for (const auto& [id, found] : tasks) ResumeFound(context, id, found);
   for (const CallId& id : context.calls.Ids()) {
     Call& call = *context.calls.Find(id);
-    if (call.phase != CallPhase::kWaiting || call.enqueue_at) continue;
-    if (!context.handing_over) OfferAgain(context, call);
+    if (call.phase == CallPhase::kWaiting) Offer(context, call);
   }
   for (const TaskChanged& word : std::exchange(words_, {})) {
     cell::TakeWord(context, word);
@@ -193,6 +205,7 @@
   } else if (runs_here) {
     call->attempt = std::max(call->attempt, latest);
     call->seen = Verdict::kMayHaveRun;
+    NoteEarlierAttempt(context, id, latest);
     AdoptOrphan(context, *call);
   }
 }
--- a/packages/cell/src/recovery.h
+++ b/packages/cell/src/recovery.h
@@ -36,6 +36,7 @@
   std::map<CallId, Tasks> TakeTasks(const Context& context);
   void ResumeOpen(Context& context, Call& call, const Tasks& tasks);
   void ResumeFound(Context& context, const CallId& id, const Tasks& tasks);
+  void Offer(Context& context, Call& call);
 
   TimePoint deadline_;
   std::map<WorkerId, Tasks> reports_;
