--- a/packages/cell/include/jasminespar/cell/cell.h
+++ b/packages/cell/include/jasminespar/cell/cell.h
@@ -83,7 +83,9 @@
   [[nodiscard]] bool recovering() const noexcept;
   [[nodiscard]] Epoch epoch() const noexcept;
 
-  /// @return whether nothing is in progress: handover may finish.
+  /// @return whether the handover may finish: the journal is durable and no
+  ///     gang is half prepared. Gangs that run go on; the next owner adopts
+  ///     them, and whoever waits for their answers asks there.
   [[nodiscard]] bool quiescent() const noexcept;
 
   /// @return records that rebuild the cell alone; what a snapshot holds.
--- a/packages/cell/include/jasminespar/cell/messages.h
+++ b/packages/cell/include/jasminespar/cell/messages.h
@@ -120,6 +120,12 @@
   configuration::CellShare share;
 };
 
+/// Whether the store answers. While it does not, a call that needs a durable
+/// record first is refused instead of left waiting.
+struct StoreChanged {
+  bool available = true;
+};
+
 /// Stops accepting; queued calls are given back as kShuttingDown/kNotRun so
 /// that their instances ask the next owner.
 struct BeginHandover {};
@@ -130,7 +136,7 @@
 using Input = std::variant<SubmitCall, LookUpCall, CancelCall, ForgetToken,
                            JournalDurable, TaskChanged, TaskOrderFailed,
                            WorkerReported, WorkerLapsed, TopologyChanged,
-                           ShareChanged, BeginHandover, Tick>;
+                           ShareChanged, StoreChanged, BeginHandover, Tick>;
 
 // Effects.
 
--- a/packages/cell/src/admission.cc
+++ b/packages/cell/src/admission.cc
@@ -14,6 +14,7 @@
 /// Retries at the next owner should not come before it can exist.
 constexpr Duration kHandoverRetry = 250ms;
 constexpr Duration kFullRetry = 1s;
+constexpr Duration kStoreRetry = 1s;
 
 void Refuse(Context& context, ReplyToken token, Reason reason, Verdict verdict,
             Duration retry_after = {}) {
@@ -53,6 +54,11 @@
   }
   const bool newly_promised = submit.request.delivery == Delivery::kCollect &&
                               !IsPromised(call.request) && !call.outcome;
+  if (newly_promised && !context.store_available) {
+    Refuse(context, submit.token, Reason::kStoreUnavailable,
+           Verdict::kMayHaveRun, kStoreRetry);
+    return;
+  }
   if (newly_promised) {
     call.request.delivery = Delivery::kCollect;
     Accept(context, call);
@@ -82,6 +88,9 @@
   if (context.calls.size() >= context.settings.max_live_calls) {
     return Refusal{Reason::kQueueFull, earlier, kFullRetry, {}};
   }
+  if (!context.store_available && IsPromised(request)) {
+    return Refusal{Reason::kStoreUnavailable, earlier, kStoreRetry, {}};
+  }
   const bool ran_as_idempotent =
       request.idempotence == Idempotence::kNonIdempotent &&
       earlier != Verdict::kNotRun;
--- a/packages/cell/src/cell.cc
+++ b/packages/cell/src/cell.cc
@@ -50,7 +50,7 @@
 
   [[nodiscard]] bool quiescent() const {
     const bool in_progress =
-        !context_.handing_over || context_.calls.waiting_replies() > 0 ||
+        !context_.handing_over ||
         !context_.journal.IsDurable(context_.journal.last());
     if (in_progress) return false;
     for (const auto& [id, call] : context_.calls.calls()) {
@@ -110,6 +110,10 @@
     context_.decision_due = true;
   }
 
+  void Take(const StoreChanged& changed) {
+    context_.store_available = changed.available;
+  }
+
   void Take(BeginHandover /*begin*/) {
     context_.handing_over = true;
     GiveBackWaiting(context_);
--- a/packages/cell/src/context.h
+++ b/packages/cell/src/context.h
@@ -51,6 +51,7 @@
   TimerQueue timers;
   bool recovering = true;
   bool handing_over = false;
+  bool store_available = true;
   bool decision_due = false;  ///< The scheduler may be able to decide more.
 
   // Of the input that is being handled.
--- a/packages/daemon/include/jasminespar/daemon/cell_decider.h
+++ b/packages/daemon/include/jasminespar/daemon/cell_decider.h
@@ -49,6 +49,7 @@
   void On(const CellLost& message);
   void On(const HandoverCell& message);
   void On(const SnapshotWanted& message);
+  void On(const StoreReached& message);
   void On(const CellsChanged& message);
   void On(const ConfigurationChanged& message);
 
@@ -69,6 +70,7 @@
   boost::asio::steady_timer timer_;
   boost::asio::steady_timer report_timer_;
   std::map<CellId, OwnedCell> cells_;
+  bool store_available_ = true;
   Cells topology_;
   ConfigurationPtr configuration_;
 };
--- a/packages/daemon/include/jasminespar/daemon/cell_journal.h
+++ b/packages/daemon/include/jasminespar/daemon/cell_journal.h
@@ -23,6 +23,7 @@
 #include "jasminespar/cell/messages.h"
 #include "jasminespar/core/ids.h"
 #include "jasminespar/core/time.h"
+#include "jasminespar/membership/write_budget.h"
 #include "jasminespar/platform/table_client.h"
 #include "jasminespar/protocol/journal_batch.h"
 #include "jasminespar/telemetry/metrics.h"
@@ -49,6 +50,7 @@
 
 struct JournalSettings {
   std::size_t max_batch_bytes = 256U << 10;
+  membership::WriteBudgetSettings budget;
   /// Unwritten bytes above which records are dropped in favour of a snapshot.
   std::size_t max_unwritten_bytes = 32U << 20;
 };
@@ -78,8 +80,9 @@
   /// Writes nothing more.
   void Close();
 
-  /// Least time between two writes: this owner's share of the write budget.
-  void SetWriteInterval(Duration interval) { write_interval_ = interval; }
+  /// Sets this journal's share of the site's writes.
+  /// @param journals written at the site now.
+  void ShareBudget(std::size_t journals);
 
  private:
   using Self = std::shared_ptr<CellJournal>;
@@ -137,10 +140,7 @@
   std::string snapshot_key_;
   std::uint64_t last_batch_ = 0;
 
-  Duration write_interval_{};
-  TimePoint last_write_;
-  Duration backoff_{};
-  bool store_available_ = true;
+  membership::WriteBudget budget_;
   bool finishing_ = false;
   bool closed_ = false;
   std::mt19937_64 random_;
--- a/packages/daemon/include/jasminespar/daemon/configuration_store.h
+++ b/packages/daemon/include/jasminespar/daemon/configuration_store.h
@@ -75,7 +75,9 @@
   boost::asio::awaitable<void> Poll();
   boost::asio::awaitable<Head> FetchHead();
   boost::asio::awaitable<void> CatchUp(Head head);
-  boost::asio::awaitable<void> LoadSnapshot(std::uint64_t revision);
+  boost::asio::awaitable<void> LoadWhole(Head head);
+  boost::asio::awaitable<configuration::Configuration> FetchSnapshot(
+      std::uint64_t revision);
   boost::asio::awaitable<Notes> FetchNotes(std::uint64_t first,
                                            std::uint64_t last);
   boost::asio::awaitable<void> ServeSubmissions();
--- a/packages/daemon/include/jasminespar/daemon/duty_messages.h
+++ b/packages/daemon/include/jasminespar/daemon/duty_messages.h
@@ -70,6 +70,10 @@
 struct HandoverCell {
   CellId cell;
 };
+/// Whether the platform's store answers this instance.
+struct StoreReached {
+  bool available = true;
+};
 /// The journal of the cell wants a snapshot.
 struct SnapshotWanted {
   CellId cell;
@@ -77,7 +81,7 @@
 };
 using ToDecider =
     std::variant<CellInput, CellClaimed, CellLost, HandoverCell, SnapshotWanted,
-                 CellsChanged, ConfigurationChanged>;
+                 StoreReached, CellsChanged, ConfigurationChanged>;
 
 // To caller_front.
 
@@ -176,6 +180,10 @@
   std::uint64_t connection = 0;
   Revision after;
 };
+/// Workers that a peer knows; used until the platform's list is read.
+struct WorkersReceived {
+  std::vector<configuration::Worker> workers;
+};
 /// The number of owners this instance knows: its divisor of the write budget.
 struct OwnersCounted {
   std::uint32_t owners = 1;
@@ -183,7 +191,8 @@
 using ToPlatform =
     std::variant<JournalAppended, SnapshotTaken, CellReleased,
                  OwnershipRequested, JournalClosed, NoteSubmitted, NotesListed,
-                 NotesReceived, PeerNotesRequested, OwnersCounted>;
+                 NotesReceived, PeerNotesRequested, WorkersReceived,
+                 OwnersCounted>;
 
 // To peer_link.
 
--- a/packages/daemon/include/jasminespar/daemon/peer_link.h
+++ b/packages/daemon/include/jasminespar/daemon/peer_link.h
@@ -78,6 +78,7 @@
 
   void OnPeerMessage(std::uint64_t connection, protocol::PeerMessage message);
   void OnForwardedCall(std::uint64_t connection, protocol::ForwardedCall call);
+  void SendWorkers(std::uint64_t connection);
   void OnClosed(std::uint64_t connection);
   [[nodiscard]] Outbound* OutboundTo(const InstanceId& instance);
   void FailAwaiting(Outbound& outbound);
@@ -88,7 +89,7 @@
   void OnHeartbeat(const membership::Heartbeat& heartbeat);
   void Beat();
   void ArmBeat();
-  void PullNotes(const membership::Heartbeat& heartbeat);
+  void PullFrom(const membership::Heartbeat& heartbeat);
 
   void MarkViewDirty();
   void PublishView();
@@ -103,6 +104,7 @@
   telemetry::Metrics& metrics_;
   membership::MemberTable members_;
   membership::OwnershipPlanner planner_;
+  Cells cells_;  // Null until the workers are known.
   std::vector<CellId> cell_ids_;
   std::vector<membership::OwnedCell> owned_;
   std::map<CellId, Epoch> releasing_;  // Rows being given back.
@@ -111,6 +113,7 @@
   bool leaving_ = false;
   bool view_dirty_ = false;
   TimePoint last_pull_;
+  std::uint32_t owners_told_ = 0;
   std::atomic<std::size_t> held_{0};
 
   std::uint64_t last_connection_ = 0;
--- a/packages/daemon/include/jasminespar/daemon/platform_link.h
+++ b/packages/daemon/include/jasminespar/daemon/platform_link.h
@@ -29,7 +29,6 @@
   Duration list_poll_interval = 1s;
   Duration configuration_poll_interval = 5s;
   std::uint32_t racks_per_cell = 64;
-  std::uint32_t journal_write_budget = 150;  ///< Rows a second, whole site.
   JournalSettings journal;
 };
 
@@ -63,10 +62,14 @@
   void On(const NotesListed& message);
   void On(const NotesReceived& message);
   void On(const PeerNotesRequested& message);
+  void On(WorkersReceived message);
   void On(const OwnersCounted& message);
 
   boost::asio::awaitable<void> PollList();
+  boost::asio::awaitable<void> ProbeTable();
   void ApplyList(const platform::InstanceList& list);
+  void UseWorkers(std::vector<configuration::Worker> workers);
+  void NoteStore(bool available);
   boost::asio::awaitable<void> ReadOwnership(CellId cell);
   boost::asio::awaitable<void> WriteOwnership(membership::OwnershipRow row,
                                               std::uint64_t expected_version);
@@ -93,6 +96,9 @@
   std::vector<configuration::Worker> workers_;
   Cells cells_;
   std::uint32_t owners_ = 1;
+  bool list_read_ = false;
+  bool store_down_ = false;
+  std::optional<TimePoint> failing_since_;
 };
 
 }  // namespace jasminespar::daemon
--- a/packages/daemon/src/caller_front.cc
+++ b/packages/daemon/src/caller_front.cc
@@ -24,6 +24,7 @@
 /// The cell answers by the deadline; this is for the way back.
 constexpr Duration kReplySlack = 500ms;
 constexpr Duration kStatusTimeout = 5s;
+constexpr Duration kUnknownConfigurationRetry = 500ms;
 constexpr Duration kNoteTimeout = 15s;
 constexpr int kOk = 200;
 constexpr int kMethodNotAllowed = 405;
@@ -209,6 +210,9 @@
                     ready ? "ready\n" : "not ready\n", "text/plain");
   }
   const TimePoint now = runtime::SteadyNow();
+  if (path == "/v1/configuration" && !configuration_known_) {
+    return front::ToProblem(RefuseFor(Reason::kRecovering, Verdict::kNotRun));
+  }
   if (path == "/v1/configuration") {
     return MakeText(kOk, codec::EncodeConfiguration(*configuration_),
                     "application/json");
@@ -256,6 +260,12 @@
 
 asio::awaitable<Response> CallerFront::ServeSubmit(http::Request request,
                                                    ServiceId service) {
+  if (!configuration_known_) {
+    Refusal refusal = RefuseFor(Reason::kRecovering, Verdict::kNotRun);
+    refusal.retry_after = kUnknownConfigurationRetry;
+    refusal.detail = "no configuration is known yet";
+    co_return Refuse(refusal);
+  }
   auto parsed =
       front::ParseCallRequest(std::move(request), service, *configuration_);
   if (const auto* refusal = std::get_if<Refusal>(&parsed)) {
--- a/packages/daemon/src/cell_decider.cc
+++ b/packages/daemon/src/cell_decider.cc
@@ -86,6 +86,9 @@
   cells_.erase(message.cell);
   cells_.emplace(message.cell, OwnedCell{std::move(cell), {}, false, false});
   outputs_.endpoint.Send(CellTaken{message.epoch, std::move(topology)});
+  if (!store_available_) {
+    Feed(message.cell, cells_.at(message.cell), cell::StoreChanged{false});
+  }
   telemetry::LogEvent(telemetry::Event::kRecoveryStarted,
                       {{"cell", message.cell.value},
                        {"epoch", std::to_string(message.epoch.durable)}});
@@ -131,6 +134,13 @@
                                        found->second.cell.SnapshotRecords()});
 }
 
+void CellDecider::On(const StoreReached& message) {
+  store_available_ = message.available;
+  for (auto& [id, owned] : cells_) {
+    Feed(id, owned, cell::StoreChanged{store_available_});
+  }
+}
+
 void CellDecider::On(const CellsChanged& message) {
   topology_ = message.cells;
   for (auto& [id, owned] : cells_) {
--- a/packages/daemon/src/cell_journal.cc
+++ b/packages/daemon/src/cell_journal.cc
@@ -19,11 +19,7 @@
 
 namespace {
 
-constexpr Duration kFirstBackoff = 50ms;
-constexpr Duration kLongestBackoff = 2s;
-
-/// Records that nothing waits for may wait this many write intervals.
-constexpr int kLazyIntervals = 4;
+constexpr Duration kShortestBackoff = 20ms;
 
 /// A snapshot is asked for at half a ring and must be there before its end.
 constexpr std::uint64_t kSnapshotBatches = protocol::kJournalSlots / 2;
@@ -73,6 +69,7 @@
       handlers_(std::move(handlers)),
       metrics_(metrics),
       signal_(context),
+      budget_(settings.budget),
       random_(fence_.epoch.durable) {}
 
 void CellJournal::Start() {
@@ -158,15 +155,20 @@
 
 asio::awaitable<void> CellJournal::WaitForBudget() {
   while (!closed_ && !snapshot_ && !finishing_) {
-    const int intervals = urgent_ > 0 ? 1 : kLazyIntervals;
-    const TimePoint allowed = last_write_ + intervals * write_interval_;
     const TimePoint now = runtime::SteadyNow();
+    const membership::Batch batch{unwritten_.size(), unwritten_bytes_,
+                                  urgent_ > 0};
+    const TimePoint allowed = budget_.WriteAt(batch, now).value_or(now);
     if (now >= allowed) co_return;
     signal_.expires_after(allowed - now);
-    co_await WaitOn(signal_);  // Woken early when something urgent came.
+    co_await WaitOn(signal_);  // Woken early when a record was appended.
   }
 }
 
+void CellJournal::ShareBudget(std::size_t journals) {
+  budget_.SetOwners(std::max<std::size_t>(journals, 1), runtime::SteadyNow());
+}
+
 bool CellJournal::SlotsExhausted() const {
   return last_batch_ - snapshot_through_ >= protocol::kJournalSlots - 1;
 }
@@ -280,7 +282,6 @@
   const bool committed = co_await Commit(std::move(transaction), version);
   if (!committed) co_return;
   slot_versions_[slot] = version;
-  last_write_ = begun;
   metrics_.Count(telemetry::Counter::kJournalWrites);
   metrics_.Count(telemetry::Counter::kJournalRecords, batch.records.size());
   metrics_.Observe(telemetry::Timing::kJournalWrite,
@@ -298,6 +299,7 @@
       result = co_await table_.Transact(transaction);
       StoreAnswered();
       metrics_.Count(telemetry::Counter::kStoreRowsWritten);
+      budget_.RecordWrite(transaction.writes.size(), runtime::SteadyNow());
       if (const auto* committed = std::get_if<platform::Committed>(&*result)) {
         written_version = committed->versions.at(0);
         co_return true;
@@ -376,17 +378,18 @@
 asio::awaitable<void> CellJournal::Backoff(Reason reason) {
   metrics_.CountRetry(reason);
   metrics_.Count(telemetry::Counter::kStoreErrors);
-  if (std::exchange(store_available_, false)) handlers_.on_store(false);
-  backoff_ = std::clamp(2 * backoff_, kFirstBackoff, kLongestBackoff);
-  std::uniform_int_distribution<Duration::rep> spread(backoff_.count() / 2,
-                                                      backoff_.count());
-  asio::steady_timer timer(context_, Duration(spread(random_)));
+  handlers_.on_store(false);
+  const TimePoint now = runtime::SteadyNow();
+  budget_.RecordFailure(now, random_);
+  const membership::Batch whole_batch{1, settings_.max_batch_bytes, true};
+  const TimePoint retry = budget_.WriteAt(whole_batch, now).value_or(now);
+  asio::steady_timer timer(context_, std::max(retry - now, kShortestBackoff));
   co_await WaitOn(timer);
 }
 
 void CellJournal::StoreAnswered() {
-  backoff_ = Duration::zero();
-  if (!std::exchange(store_available_, true)) handlers_.on_store(true);
+  budget_.RecordSuccess();
+  handlers_.on_store(true);
 }
 
 }  // namespace jasminespar::daemon
--- a/packages/daemon/src/configuration_store.cc
+++ b/packages/daemon/src/configuration_store.cc
@@ -159,14 +159,13 @@
 }
 
 asio::awaitable<void> ConfigurationStore::CatchUp(Head head) {
-  if (keeper_.current() == nullptr && head.revision == 0) {
-    TakeWhole(configuration::Configuration{});
+  if (keeper_.current() == nullptr) {
+    co_await LoadWhole(head);
+    co_return;
   }
-  if (head.revision <= keeper_.revision().value) co_return;
   if (keeper_.revision().value < head.snapshot) {
-    co_await LoadSnapshot(head.snapshot);
-  } else if (keeper_.current() == nullptr) {
-    TakeWhole(configuration::Configuration{});
+    configuration::Configuration whole = co_await FetchSnapshot(head.snapshot);
+    TakeWhole(std::move(whole));
   }
   while (keeper_.revision().value < head.revision) {
     const std::uint64_t first = keeper_.revision().value + 1;
@@ -178,7 +177,30 @@
   }
 }
 
-asio::awaitable<void> ConfigurationStore::LoadSnapshot(std::uint64_t revision) {
+// Published once, at the end: what came before it is in force nowhere.
+asio::awaitable<void> ConfigurationStore::LoadWhole(Head head) {
+  configuration::Configuration whole;
+  if (head.snapshot > 0) whole = co_await FetchSnapshot(head.snapshot);
+  while (whole.revision.value < head.revision) {
+    const std::uint64_t first = whole.revision.value + 1;
+    const std::uint64_t last = std::min(head.revision, first + kReadKeys - 1);
+    const Notes notes = co_await FetchNotes(first, last);
+    for (const ReleaseNote& note : notes) {
+      std::optional<configuration::Configuration> next =
+          configuration::Apply(whole, note);
+      if (!next) {
+        throw Error(Reason::kStoreUnavailable, Verdict::kNotRun,
+                    "no note stands on revision " +
+                        std::to_string(whole.revision.value));
+      }
+      whole = *std::move(next);
+    }
+  }
+  TakeWhole(std::move(whole));
+}
+
+asio::awaitable<configuration::Configuration> ConfigurationStore::FetchSnapshot(
+    std::uint64_t revision) {
   const auto bytes = co_await table_.GetObject(SnapshotKey(revision));
   if (!bytes) {
     throw Error(Reason::kStoreUnavailable, Verdict::kNotRun,
@@ -190,7 +212,7 @@
     throw Error(Reason::kStoreUnavailable, Verdict::kNotRun,
                 SnapshotKey(revision));
   }
-  TakeWhole(std::move(*whole));
+  co_return std::move(*whole);
 }
 
 asio::awaitable<ConfigurationStore::Notes> ConfigurationStore::FetchNotes(
@@ -252,7 +274,9 @@
   protocol::Notes notes;
   notes.through = keeper_.revision();
   if (keeper_.current() == nullptr || after >= notes.through) return notes;
-  if (!recent_.empty() && recent_.begin()->first <= after.value + 1) {
+  // One that asks from revision 0 may have no configuration to build on.
+  if (after.value > 0 && !recent_.empty() &&
+      recent_.begin()->first <= after.value + 1) {
     for (auto it = recent_.upper_bound(after.value); it != recent_.end();
          ++it) {
       notes.texts.push_back(it->second);
--- a/packages/daemon/src/instance.cc
+++ b/packages/daemon/src/instance.cc
@@ -58,7 +58,8 @@
   platform.list_poll_interval = settings.list_poll_interval;
   platform.configuration_poll_interval = settings.configuration_poll_interval;
   platform.racks_per_cell = settings.racks_per_cell;
-  platform.journal_write_budget = settings.journal_write_budget;
+  platform.journal.budget.site_writes_per_second =
+      settings.journal_write_budget;
   platform.journal.max_batch_bytes = settings.journal_max_batch_bytes;
   return platform;
 }
--- a/packages/daemon/src/peer_link.cc
+++ b/packages/daemon/src/peer_link.cc
@@ -1,5 +1,6 @@
 #include "jasminespar/daemon/peer_link.h"
 
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
@@ -67,6 +68,7 @@
 }
 
 void PeerLink::On(const CellsChanged& message) {
+  cells_ = message.cells;
   cell_ids_.clear();
   for (const auto& cell : *message.cells) cell_ids_.push_back(cell.id);
   PlanOwnership();
@@ -139,18 +141,23 @@
   if (heartbeat.instance == settings_.self.id) return;
   if (!members_.Observe(heartbeat, runtime::SteadyNow())) return;
   MarkViewDirty();
-  PullNotes(heartbeat);
+  PullFrom(heartbeat);
 }
 
-void PeerLink::PullNotes(const membership::Heartbeat& heartbeat) {
+void PeerLink::PullFrom(const membership::Heartbeat& heartbeat) {
   const TimePoint now = runtime::SteadyNow();
-  if (heartbeat.revision <= revision_ || now - last_pull_ < kPullInterval) {
+  const bool wants_notes = heartbeat.revision > revision_;
+  const bool wants_workers = cells_ == nullptr;
+  if (!(wants_notes || wants_workers) || now - last_pull_ < kPullInterval) {
     return;
   }
   last_pull_ = now;
   Outbound* outbound = OutboundTo(heartbeat.instance);
   if (outbound == nullptr) return;
-  outbound->connection->Send(protocol::NotesRequest{revision_});
+  if (wants_notes) {
+    outbound->connection->Send(protocol::NotesRequest{revision_});
+  }
+  if (wants_workers) outbound->connection->Send(protocol::WorkersRequest{});
 }
 
 // View and ownership.
@@ -168,6 +175,14 @@
   auto view = std::make_shared<const membership::View>(
       members_.ViewAt(runtime::SteadyNow()));
   CloseSuspected(*view);
+  const auto owned = static_cast<std::uint32_t>(
+      std::count_if(view->cells.begin(), view->cells.end(),
+                    [](const membership::CellOwner& cell) {
+                      return !cell.owner.value.empty();
+                    }));
+  if (std::exchange(owners_told_, owned) != owned) {
+    outputs_.platform.Send(OwnersCounted{owned});
+  }
   outputs_.front.Send(ViewChanged{std::move(view)});
 }
 
@@ -336,35 +351,51 @@
 
 void PeerLink::OnPeerMessage(std::uint64_t connection,
                              protocol::PeerMessage message) {
-  std::visit(Overloaded{
-                 [&](protocol::ForwardedCall& call) {
-                   OnForwardedCall(connection, std::move(call));
-                 },
-                 [&](protocol::ForwardedReply& reply) {
-                   for (auto& [instance, outbound] : outbound_) {
-                     if (outbound.connection->number() != connection) continue;
-                     if (outbound.awaiting.erase(reply.number) == 0) return;
-                     outputs_.front.Send(
-                         CallReplied{reply.number, std::move(reply.reply)});
-                   }
-                 },
-                 [&](const protocol::AbandonedCall& abandoned) {
-                   // The cell is not named: the token is, and it is enough.
-                   for (const CellId& cell : cell_ids_) {
-                     outputs_.decider.Send(CellInput{
-                         cell, std::nullopt,
-                         cell::ForgetToken{{connection, abandoned.number}}});
-                   }
-                 },
-                 [&](const protocol::NotesRequest& request) {
-                   outputs_.platform.Send(
-                       PeerNotesRequested{connection, request.after});
-                 },
-                 [&](protocol::Notes& notes) {
-                   outputs_.platform.Send(NotesReceived{std::move(notes)});
-                 },
-             },
-             message);
+  std::visit(
+      Overloaded{
+          [&](protocol::ForwardedCall& call) {
+            OnForwardedCall(connection, std::move(call));
+          },
+          [&](protocol::ForwardedReply& reply) {
+            for (auto& [instance, outbound] : outbound_) {
+              if (outbound.connection->number() != connection) continue;
+              if (outbound.awaiting.erase(reply.number) == 0) return;
+              outputs_.front.Send(
+                  CallReplied{reply.number, std::move(reply.reply)});
+            }
+          },
+          [&](const protocol::AbandonedCall& abandoned) {
+            // The cell is not named: the token is, and it is enough.
+            for (const CellId& cell : cell_ids_) {
+              outputs_.decider.Send(
+                  CellInput{cell, std::nullopt,
+                            cell::ForgetToken{{connection, abandoned.number}}});
+            }
+          },
+          [&](const protocol::NotesRequest& request) {
+            outputs_.platform.Send(
+                PeerNotesRequested{connection, request.after});
+          },
+          [&](protocol::Notes& notes) {
+            outputs_.platform.Send(NotesReceived{std::move(notes)});
+          },
+          [&](const protocol::WorkersRequest&) { SendWorkers(connection); },
+          [&](protocol::Workers& workers) {
+            outputs_.platform.Send(WorkersReceived{std::move(workers.workers)});
+          },
+      },
+      message);
+}
+
+void PeerLink::SendWorkers(std::uint64_t connection) {
+  const auto found = inbound_.find(connection);
+  if (found == inbound_.end() || cells_ == nullptr) return;
+  protocol::Workers message;
+  for (const configuration::CellTopology& cell : *cells_) {
+    message.workers.insert(message.workers.end(), cell.workers.begin(),
+                           cell.workers.end());
+  }
+  found->second->Send(std::move(message));
 }
 
 void PeerLink::OnForwardedCall(std::uint64_t connection,
--- a/packages/daemon/src/platform_link.cc
+++ b/packages/daemon/src/platform_link.cc
@@ -11,6 +11,7 @@
 #include "jasminespar/core/error.h"
 #include "jasminespar/core/overloaded.h"
 #include "jasminespar/protocol/ownership_row.h"
+#include "jasminespar/runtime/clock.h"
 #include "jasminespar/telemetry/events.h"
 
 namespace jasminespar::daemon {
@@ -19,6 +20,11 @@
 
 namespace {
 
+/// Failures for so long are an outage.
+constexpr Duration kOutageAfter = 700ms;
+constexpr Duration kProbeInterval = 500ms;
+constexpr Duration kOutageProbe = 200ms;
+
 std::string RowKey(const CellId& cell) { return "cell/" + cell.value; }
 
 membership::ListedInstance ToListed(const platform::ListedEntry& entry) {
@@ -53,6 +59,7 @@
 
 void PlatformLink::Start() {
   asio::co_spawn(context_, PollList(), asio::detached);
+  asio::co_spawn(context_, ProbeTable(), asio::detached);
   configuration_.Start();
 }
 
@@ -75,14 +82,39 @@
   }
 }
 
+// The list may be served while the table is not, so the table is asked itself.
+asio::awaitable<void> PlatformLink::ProbeTable() {
+  while (true) {
+    bool available = true;
+    try {
+      std::vector<std::string> keys{"configuration/head"};
+      co_await table_.Read(std::move(keys));
+    } catch (const Error&) {
+      available = false;
+    }
+    NoteStore(available);
+    co_await Sleep(context_, available ? kProbeInterval : kOutageProbe);
+  }
+}
+
 void PlatformLink::ApplyList(const platform::InstanceList& list) {
   ListReceived received;
   for (const platform::ListedEntry& entry : list.entries) {
     received.instances.push_back(ToListed(entry));
   }
   outputs_.peer.Send(std::move(received));
-  if (list.workers == workers_) return;
-  workers_ = list.workers;
+  list_read_ = true;
+  UseWorkers(list.workers);
+}
+
+// A new instance that cannot read the list takes the workers from a peer.
+void PlatformLink::On(WorkersReceived message) {
+  if (!list_read_) UseWorkers(std::move(message.workers));
+}
+
+void PlatformLink::UseWorkers(std::vector<configuration::Worker> workers) {
+  if (workers == workers_) return;
+  workers_ = std::move(workers);
   cells_ = std::make_shared<const std::vector<configuration::CellTopology>>(
       configuration::GroupIntoCells(workers_, settings_.racks_per_cell));
   configuration_.UseCells(cells_);
@@ -217,11 +249,7 @@
   handlers.on_finished = [this, cell] {
     outputs_.peer.Send(OwnershipAnswer(HandoverFinished{cell}));
   };
-  handlers.on_store = [cell](bool available) {
-    telemetry::LogEvent(available ? telemetry::Event::kStoreBack
-                                  : telemetry::Event::kStoreUnavailable,
-                        {{"cell", cell.value}});
-  };
+  handlers.on_store = [this](bool available) { NoteStore(available); };
   return handlers;
 }
 
@@ -259,17 +287,27 @@
   ShareBudget();
 }
 
-// The budget is the whole site's: each owner takes an equal share, and splits
-// it over its journals.
+// The budget is the whole site's: every journal takes an equal share.
 void PlatformLink::ShareBudget() {
-  const std::size_t writers =
-      owners_ * std::max<std::size_t>(journals_.size(), 1);
-  const Duration interval(Duration(1s).count() *
-                          static_cast<Duration::rep>(writers) /
-                          std::max(settings_.journal_write_budget, 1U));
-  for (auto& [cell, entry] : journals_) {
-    entry.journal->SetWriteInterval(interval);
+  const std::size_t journals = std::max<std::size_t>(owners_, journals_.size());
+  for (auto& [cell, entry] : journals_) entry.journal->ShareBudget(journals);
+}
+
+void PlatformLink::NoteStore(bool available) {
+  const TimePoint now = runtime::SteadyNow();
+  if (available) {
+    failing_since_.reset();
+  } else if (!failing_since_) {
+    failing_since_ = now;
   }
+  // One refused write is no outage: over budget, the store says no as well.
+  const bool down = failing_since_ && now - *failing_since_ >= kOutageAfter;
+  if (down == store_down_) return;
+  store_down_ = down;
+  telemetry::LogEvent(
+      down ? telemetry::Event::kStoreUnavailable : telemetry::Event::kStoreBack,
+      {});
+  outputs_.decider.Send(StoreReached{!down});
 }
 
 // Release notes.
--- a/packages/protocol/include/jasminespar/protocol/peer_message.h
+++ b/packages/protocol/include/jasminespar/protocol/peer_message.h
@@ -70,8 +70,16 @@
   std::vector<std::string> texts;
 };
 
+/// Asks for the workers of the site; sent by an instance that has not been
+/// able to read the platform's list since it started.
+struct WorkersRequest {};
+
+struct Workers {
+  std::vector<configuration::Worker> workers;
+};
+
 using PeerMessage = std::variant<ForwardedCall, ForwardedReply, AbandonedCall,
-                                 NotesRequest, Notes>;
+                                 NotesRequest, Notes, WorkersRequest, Workers>;
 
 /// @return the bytes of one frame, without its length.
 [[nodiscard]] std::string Encode(const PeerMessage& message);
--- a/packages/protocol/src/serialization.h
+++ b/packages/protocol/src/serialization.h
@@ -95,6 +95,11 @@
 void serialize(Archive& archive, Address& address) {
   archive(address.host, address.port);
 }
+template <typename Archive>
+void serialize(Archive& archive, Worker& worker) {
+  archive(worker.id, worker.data_centre, worker.rack, worker.accelerators,
+          worker.address, TableValue(worker.state, kMachineStateNames));
+}
 
 }  // namespace configuration
 
@@ -212,6 +217,12 @@
 void serialize(Archive& archive, Notes& message) {
   archive(message.through, message.whole, message.texts);
 }
+template <typename Archive>
+void serialize(Archive& /*archive*/, WorkersRequest& /*message*/) {}
+template <typename Archive>
+void serialize(Archive& archive, Workers& message) {
+  archive(message.workers);
+}
 
 }  // namespace protocol
 }  // namespace jasminespar
