--- a/tests/telemetry/telemetry_test.cc
+++ b/tests/telemetry/telemetry_test.cc
@@ -81,23 +81,60 @@
   CHECK(Holds(metrics.Render(), "jasminespar_calls_answered_total 40000"));
 }
 
+std::string ReadPage(const std::string& name) {
+  std::ifstream file(JASMINESPAR_DOCS "/" + name);
+  return {std::istreambuf_iterator<char>(file), {}};
+}
+
+/// @return the first column of each table row that matches.
+std::set<std::string> RowsOf(const std::string& page, const std::regex& row) {
+  std::set<std::string> found;
+  for (std::sregex_iterator match(page.begin(), page.end(), row), end;
+       match != end; ++match) {
+    found.insert((*match)[1].str());
+  }
+  return found;
+}
+
 TEST_CASE("the catalogue holds exactly the events of the table") {
-  std::ifstream file(JASMINESPAR_DOCS "/EVENTS.md");
-  const std::string page{std::istreambuf_iterator<char>(file), {}};
   std::set<std::string> expected;
   for (const EventRow& row : kEvents) {
-    expected.insert(std::to_string(row.number) + " " + std::string(row.name) +
-                    " " +
-                    std::string(RowOf(kSeverityNames, row.severity).name));
+    expected.insert(std::to_string(row.number) + " | `" +
+                    std::string(row.name) + "` | " +
+                    std::string(RowOf(kSeverityNames, row.severity).name) +
+                    " | " + std::string(row.help));
   }
-  std::set<std::string> found;
-  const std::regex line(R"(\n\| (\d+) \| `([a-z_]+)` \| (\w+) \|)");
-  for (std::sregex_iterator match(page.begin(), page.end(), line), end;
-       match != end; ++match) {
-    found.insert((*match)[1].str() + " " + (*match)[2].str() + " " +
-                 (*match)[3].str());
+  CHECK(RowsOf(ReadPage("EVENTS.md"),
+               std::regex(R"(\n\| (\d+ \| [^|]+ \| [^|]+ \| [^|]+) \|)")) ==
+        expected);
+}
+
+TEST_CASE("the page for operators holds exactly the metrics of the tables") {
+  std::set<std::string> expected;
+  const auto expect = [&](const auto& table, const std::string& suffix) {
+    for (const auto& row : table) {
+      expected.insert("jasminespar_" + std::string(row.name) + suffix + "` | " +
+                      std::string(row.help));
+    }
+  };
+  expect(kCounterNames, "_total");
+  expect(kGaugeNames, "");
+  expect(kTimingNames, "_seconds");
+  CHECK(RowsOf(ReadPage("OPERATIONS.md"),
+               std::regex(R"(\n\| `(jasminespar_[^|]+ \| [^|]+) \|)")) ==
+        expected);
+}
+
+TEST_CASE("every event that the page for operators names exists") {
+  const std::string page = ReadPage("OPERATIONS.md");
+  std::set<std::string> numbers;
+  for (const EventRow& row : kEvents)
+    numbers.insert(std::to_string(row.number));
+  const std::regex number(R"(\b([1-7]00\d)\b)");
+  for (const std::string& named : RowsOf(page, number)) {
+    CAPTURE(named);
+    CHECK(numbers.contains(named));
   }
-  CHECK(found == expected);
 }
 
 }  // namespace
