Split the integration tests by concern and list the known red one

Cause: one program of 41 s; the list of known red tests names ctest's names. Ruled out: easing the store-down case; its fault is real. Change: site_instances, site_store, site_changes; refusals are counted with their verdict; KNOWN-RED.txt lists site_store. Before: test_site: 4 of 5 cases passed.

--- a/packages/standins/include/jasminespar/standins/load_summary.h
+++ b/packages/standins/include/jasminespar/standins/load_summary.h
@@ -17,7 +17,7 @@
 /// Figures of one client account.
 struct AccountSummary {
   std::size_t answered = 0;
-  std::map<std::string, std::size_t> refused;  ///< By reason.
+  std::map<std::string, std::size_t> refused;  ///< By "reason/verdict".
   std::size_t without_outcome = 0;
   std::vector<Duration> completions;  ///< Of answered calls, rising.
   std::vector<Duration> short_waits;  ///< Completion less run time, rising.
--- a/packages/standins/src/load_summary.cc
+++ b/packages/standins/src/load_summary.cc
@@ -9,7 +9,8 @@
 
 void Add(const CallRecord& record, AccountSummary& summary) {
   if (record.outcome == CallerOutcome::kRefused) {
-    ++summary.refused[record.reason];
+    ++summary
+          .refused[record.reason + "/" + std::string(NameOf(record.verdict))];
     return;
   }
   if (record.outcome != CallerOutcome::kAnswered) {
@@ -33,9 +34,9 @@
     refused += count;
     reasons += " " + reason + "=" + std::to_string(count);
   }
-  char line[256];
+  char line[160];
   std::snprintf(line, sizeof line,
-                "%-12s %8zu %8zu %8zu %8lld %8lld %8lld %8lld %6.1f%% %s\n",
+                "%-12s %8zu %8zu %8zu %8lld %8lld %8lld %8lld %6.1f%% ",
                 account.c_str(), summary.answered, refused,
                 summary.without_outcome,
                 static_cast<long long>(
@@ -46,8 +47,8 @@
                     ToMilliseconds(Percentile(summary.short_waits, 0.5))),
                 static_cast<long long>(
                     ToMilliseconds(Percentile(summary.short_waits, 0.99))),
-                100 * fragmentation, reasons.c_str());
-  return line;
+                100 * fragmentation);
+  return line + reasons + "\n";
 }
 
 }  // namespace
--- a/tests/site/platform_test.cc
+++ b/tests/site_changes/changes_test.cc
@@ -31,26 +31,6 @@
   CHECK(had_orders);
 }
 
-TEST_CASE("with the store down idempotent calls are served, others refused") {
-  RunningSite running;
-  running.site.SetStoreFault({{"mode", "down"}});
-  LoadSettings settings = running.MakeLoadSettings();
-  settings.patience = 15s;
-  Load load(settings, PlanMix(SmallMix(14, 60, 3s)));
-  load.Start();
-  const std::vector<CallRecord> records = load.Finish(0);
-  running.CheckPromisesOf(records);
-  for (const CallRecord& record : records) {
-    INFO(record.plan.key.idempotency_key << " " << record.reason);
-    if (record.plan.idempotence == Idempotence::kIdempotent) {
-      CHECK(record.outcome == CallerOutcome::kAnswered);
-    } else {
-      CHECK(record.outcome == CallerOutcome::kRefused);
-      CHECK(record.verdict == Verdict::kNotRun);
-    }
-  }
-}
-
 TEST_CASE("of two operators on the same base one wins everywhere") {
   RunningSite running;
   const auto send = [&running](std::size_t instance) {
--- /dev/null
+++ b/tests/site_store/store_down_test.cc
@@ -0,0 +1,27 @@
+#include "site/running_site.h"
+
+namespace jasminespar::standins {
+namespace {
+
+TEST_CASE("with the store down idempotent calls are served, others refused") {
+  RunningSite running;
+  running.site.SetStoreFault({{"mode", "down"}});
+  LoadSettings settings = running.MakeLoadSettings();
+  settings.patience = 15s;
+  Load load(settings, PlanMix(SmallMix(14, 60, 3s)));
+  load.Start();
+  const std::vector<CallRecord> records = load.Finish(0);
+  running.CheckPromisesOf(records);
+  for (const CallRecord& record : records) {
+    INFO(record.plan.key.idempotency_key << " " << record.reason);
+    if (record.plan.idempotence == Idempotence::kIdempotent) {
+      CHECK(record.outcome == CallerOutcome::kAnswered);
+    } else {
+      CHECK(record.outcome == CallerOutcome::kRefused);
+      CHECK(record.verdict == Verdict::kNotRun);
+    }
+  }
+}
+
+}  // namespace
+}  // namespace jasminespar::standins
