--- a/packages/membership/include/jasminespar/membership/routing.h
+++ b/packages/membership/include/jasminespar/membership/routing.h
@@ -43,7 +43,9 @@
   InstanceId instance;
   configuration::Address peer;
   CellId cell;
-  Epoch epoch;  ///< Under which the instance is thought to own the cell.
+  /// Under which the instance is thought to own the cell; zero for an instance
+  /// that is asked to forward the call again.
+  Epoch epoch;
 };
 
 /// The call was not run.
@@ -53,6 +55,8 @@
 
 using RouteDecision = std::variant<ServeHere, Forward, RefuseRoute>;
 
+/// In a partial view the owner of a remote cell may be unknown; the first hop
+/// then goes to an instance of the cell's data centre, which knows the owner.
 /// @param hops how often the call was forwarded so far.
 [[nodiscard]] RouteDecision Route(const RoutingSettings& settings,
                                   const View& view, const CellId& cell,
--- a/packages/membership/include/jasminespar/membership/view.h
+++ b/packages/membership/include/jasminespar/membership/view.h
@@ -54,6 +54,9 @@
 
 struct View {
   InstanceId self;
+  /// The fleet is large, so that instances of other data centres, their cells
+  /// included, may be alive without being heard here.
+  bool partial = false;
   DataCentreId data_centre;      ///< Of `self`.
   std::vector<Member> members;   ///< Ordered by id; holds `self`.
   std::vector<CellOwner> cells;  ///< Ordered by cell.
--- a/packages/membership/src/member_table.cc
+++ b/packages/membership/src/member_table.cc
@@ -148,6 +148,7 @@
 View MemberTable::ViewAt(TimePoint now) const {
   View view;
   view.self = self_;
+  view.partial = entries_.size() > settings_.full_mesh_members;
   view.data_centre = data_centre_;
   view.highest_revision = highest_revision_;
   view.members.reserve(entries_.size());
--- a/packages/membership/src/routing.cc
+++ b/packages/membership/src/routing.cc
@@ -7,7 +7,9 @@
 #include <string>
 #include <string_view>
 
+#include "jasminespar/configuration/topology.h"
 #include "jasminespar/core/digest.h"
+#include "jasminespar/membership/rendezvous.h"
 
 namespace jasminespar::membership {
 namespace {
@@ -44,6 +46,25 @@
       Refusal{reason, Verdict::kNotRun, retry_after, std::move(detail)}};
 }
 
+/// @return an instance that hears the owner of a remote cell, or null.
+const Member* FindGateway(const View& view, const CellId& cell) {
+  const DataCentreId data_centre = configuration::DataCentreOf(cell);
+  if (!view.partial || data_centre == view.data_centre) return nullptr;
+  std::vector<InstanceId> heard;
+  std::vector<InstanceId> listed;
+  for (const Member& member : view.members) {
+    if (member.data_centre != data_centre) continue;
+    if (member.state == MemberState::kLive) heard.push_back(member.id);
+    if (member.listed == configuration::MachineState::kLive) {
+      listed.push_back(member.id);
+    }
+  }
+  // Ranked by this instance's id, so that the callers spread over them.
+  const std::optional<InstanceId> gateway =
+      ChooseOwner(CellId{view.self.value}, heard.empty() ? listed : heard);
+  return gateway ? view.FindMember(*gateway) : nullptr;
+}
+
 }  // namespace
 
 std::optional<CellId> HomeCell(const CallId& id,
@@ -69,6 +90,10 @@
                     const CellId& cell, std::uint32_t hops) {
   const CellOwner* known = view.FindCell(cell);
   if (known == nullptr || known->owner.value.empty()) {
+    const Member* gateway = FindGateway(view, cell);
+    if (gateway != nullptr && hops == 0) {
+      return Forward{gateway->id, gateway->peer, cell, Epoch{}};
+    }
     return Refuse(Reason::kNoOwner, settings.retry_after, cell.value);
   }
   if (known->owner == view.self) return ServeHere{cell, known->epoch};
--- a/tests/membership/routing_test.cc
+++ b/tests/membership/routing_test.cc
@@ -41,6 +41,22 @@
   CHECK(ReasonOf(Route(settings, other, CellId{"x/1"}, 0)) == Reason::kNoOwner);
 }
 
+TEST_CASE("In a partial view a remote data centre is asked for the owner") {
+  const RoutingSettings settings;
+  const CellId cell{"dc-b/0"};
+  View view = ViewWithOwner("a1", MemberState::kLive);
+  view.members[1].data_centre = DataCentreId{"dc-b"};
+  CHECK(ReasonOf(Route(settings, view, cell, 0)) == Reason::kNoOwner);
+  view.partial = true;
+  CHECK(std::get<Forward>(Route(settings, view, cell, 0)).instance ==
+        InstanceId{"a2"});
+  CHECK(ReasonOf(Route(settings, view, cell, 1)) == Reason::kNoOwner);
+  view.members[1].state = MemberState::kSuspected;  // Merely not heard here.
+  CHECK(std::holds_alternative<Forward>(Route(settings, view, cell, 0)));
+  view.members[1].listed = configuration::MachineState::kGone;
+  CHECK(ReasonOf(Route(settings, view, cell, 0)) == Reason::kNoOwner);
+}
+
 TEST_CASE("Home cells follow their weights and move little") {
   const std::vector<WeightedCell> cells{
       {CellId{"a/0"}, 100}, {CellId{"b/0"}, 300}, {CellId{"c/0"}, 0}};
