Serve a cut-off data centre: provisional ownership by workers' leases, local cells for idempotent calls

Cause: with the platform unreachable and a cell's owner dead nobody could claim the cell, and calls whose home lay elsewhere were refused to their deadline. Change: peer_link runs the provisional planner, endpoint_link obtains the leases, the decider serves under the provisional epoch; promises are refused there with may_have_run, as earlier records cannot be read. An idempotent, waiting call whose home cell has no live owner is served by a cell of the own data centre. A durable claim replaces a provisional one and its callers ask again. Ruled out: claiming on silence alone without the workers' majority. Conclusion: needs its test with the links cut.

--- a/packages/cell/src/admission.cc
+++ b/packages/cell/src/admission.cc
@@ -89,7 +89,12 @@
     return Refusal{Reason::kQueueFull, earlier, kFullRetry, {}};
   }
   if (!context.store_available && IsPromised(request)) {
-    return Refusal{Reason::kStoreUnavailable, earlier, kStoreRetry, {}};
+    // A provisional owner has not read what earlier owners recorded.
+    const bool journal_read = context.epoch.provisional == 0;
+    return Refusal{Reason::kStoreUnavailable,
+                   journal_read ? earlier : Verdict::kMayHaveRun,
+                   kStoreRetry,
+                   {}};
   }
   const bool ran_as_idempotent =
       request.idempotence == Idempotence::kNonIdempotent &&
--- a/packages/daemon/include/jasminespar/daemon/caller_front.h
+++ b/packages/daemon/include/jasminespar/daemon/caller_front.h
@@ -92,6 +92,7 @@
   [[nodiscard]] http::Response Refuse(const Refusal& refusal);
 
   boost::asio::awaitable<cell::CallReply> Run(Errand errand);
+  void UseLocalCell(Errand& errand) const;
   boost::asio::awaitable<cell::CallReply> Ask(std::shared_ptr<Errand> errand);
   void Send(const membership::RouteDecision& decision, const Errand& errand,
             std::uint64_t number);
--- a/packages/daemon/include/jasminespar/daemon/duty_messages.h
+++ b/packages/daemon/include/jasminespar/daemon/duty_messages.h
@@ -5,9 +5,9 @@
 ///
 ///     caller_front  -> cell_decider, peer_link, platform_link, telemetry
 ///     cell_decider  -> caller_front, peer_link, endpoint_link, platform_link
-///     endpoint_link -> cell_decider
-///     peer_link     -> caller_front, cell_decider, platform_link
-///     platform_link -> caller_front, cell_decider, peer_link
+///     endpoint_link -> cell_decider, peer_link
+///     peer_link     -> caller_front, cell_decider, endpoint_link,
+///     platform_link platform_link -> caller_front, cell_decider, peer_link
 ///     telemetry     -> caller_front
 
 #ifndef JASMINESPAR_DAEMON_DUTY_MESSAGES_H_
@@ -129,8 +129,14 @@
 struct TopologyReplaced {
   configuration::CellTopology topology;
 };
-using ToEndpoint =
-    std::variant<TaskRequested, CellTaken, CellDropped, TopologyReplaced>;
+/// Asks every worker of the cell for its report under that epoch, which gives
+/// the cell's lease; answered by LeaseAnswered.
+struct LeasesWanted {
+  Epoch epoch;
+  configuration::CellTopology topology;
+};
+using ToEndpoint = std::variant<TaskRequested, CellTaken, CellDropped,
+                                TopologyReplaced, LeasesWanted>;
 
 // To platform_link.
 
@@ -250,12 +256,19 @@
   std::uint64_t connection = 0;
   protocol::Notes notes;
 };
+/// A worker's word on LeasesWanted; one that cannot be reached says nothing.
+struct LeaseAnswered {
+  CellId cell;
+  Epoch epoch;
+  WorkerId worker;
+  bool granted = false;
+};
 /// Heartbeats say that this instance leaves; its cells are handed over.
 struct LeaveSite {};
 using ToPeer =
     std::variant<CallForwarded, ForwardAbandoned, PeerReplied, CellsReported,
                  ListReceived, OwnershipAnswer, PeerNotesFound, CellsChanged,
-                 ConfigurationChanged, LeaveSite>;
+                 ConfigurationChanged, LeaseAnswered, LeaveSite>;
 
 /// @return the cell's input for an operation whose reply goes to `token`.
 [[nodiscard]] cell::Input ToInput(cell::ReplyToken token, protocol::CallOp op);
--- a/packages/daemon/include/jasminespar/daemon/endpoint_link.h
+++ b/packages/daemon/include/jasminespar/daemon/endpoint_link.h
@@ -30,7 +30,7 @@
  public:
   EndpointLink(runtime::Duty& duty, const EndpointLinkSettings& settings,
                runtime::Channel<ToDecider>& decider,
-               telemetry::Metrics& metrics);
+               runtime::Channel<ToPeer>& peer, telemetry::Metrics& metrics);
 
   void Handle(ToEndpoint message);
 
@@ -57,7 +57,12 @@
   void On(const CellTaken& message);
   void On(const CellDropped& message);
   void On(const TopologyReplaced& message);
+  void On(const LeasesWanted& message);
 
+  boost::asio::awaitable<void> AskLease(endpoint::CellRef cell,
+                                        configuration::Worker worker);
+  [[nodiscard]] std::shared_ptr<endpoint::WorkerClient> ClientOf(
+      const configuration::Worker& worker);
   void Subscribe(OwnedCell& owned, const configuration::CellTopology& topology);
   boost::asio::awaitable<void> ReadReports(SubscriptionPtr subscription);
   boost::asio::awaitable<bool> ReadReport(SubscriptionPtr subscription);
@@ -74,6 +79,7 @@
   boost::asio::io_context& context_;
   EndpointLinkSettings settings_;
   runtime::Channel<ToDecider>& decider_;
+  runtime::Channel<ToPeer>& peer_;
   telemetry::Metrics& metrics_;
   std::map<CellId, OwnedCell> cells_;
   std::map<configuration::Address, std::shared_ptr<endpoint::WorkerClient>>
--- a/packages/daemon/include/jasminespar/daemon/peer_link.h
+++ b/packages/daemon/include/jasminespar/daemon/peer_link.h
@@ -21,6 +21,7 @@
 #include "jasminespar/daemon/peer_connection.h"
 #include "jasminespar/membership/member_table.h"
 #include "jasminespar/membership/ownership.h"
+#include "jasminespar/membership/provisional.h"
 #include "jasminespar/runtime/channel.h"
 #include "jasminespar/runtime/duty.h"
 #include "jasminespar/telemetry/metrics.h"
@@ -41,6 +42,7 @@
   runtime::Channel<ToFront>& front;
   runtime::Channel<ToDecider>& decider;
   runtime::Channel<ToPlatform>& platform;
+  runtime::Channel<ToEndpoint>& endpoint;
 };
 
 /// Runs on its duty's thread only, `held_cells` excepted.
@@ -74,6 +76,7 @@
   void On(PeerNotesFound message);
   void On(const CellsChanged& message);
   void On(const ConfigurationChanged& message);
+  void On(const LeaseAnswered& message);
   void On(const LeaveSite& message);
 
   void OnPeerMessage(std::uint64_t connection, protocol::PeerMessage message);
@@ -95,6 +98,10 @@
   void PublishView();
   void PlanOwnership();
   void Perform(const std::vector<membership::OwnershipAction>& actions);
+  void PlanProvisional(const membership::View& view, TimePoint now);
+  void Perform(const std::vector<membership::ProvisionalAction>& actions);
+  [[nodiscard]] configuration::CellTopology TopologyOf(
+      const CellId& cell) const;
   void Drop(const CellId& cell, Epoch epoch, Reason reason);
   [[nodiscard]] ConnectionPtr MakeConnection();
 
@@ -104,6 +111,7 @@
   telemetry::Metrics& metrics_;
   membership::MemberTable members_;
   membership::OwnershipPlanner planner_;
+  membership::ProvisionalPlanner provisional_;
   Cells cells_;  // Null until the workers are known.
   std::vector<CellId> cell_ids_;
   std::vector<membership::OwnedCell> owned_;
--- a/packages/daemon/src/caller_front.cc
+++ b/packages/daemon/src/caller_front.cc
@@ -330,11 +330,41 @@
       co_return reply;
     }
     metrics_.CountRetry(refusal->reason);
+    UseLocalCell(*errand);
     co_await Sleep(context_, pause);
     backoff = std::min(2 * backoff, kLongestBackoff);
   }
 }
 
+// A data centre that is cut off serves idempotent calls on its own workers;
+// the home cell may run the call too, which idempotence allows.
+void CallerFront::UseLocalCell(Errand& errand) const {
+  const auto* submit = std::get_if<protocol::SubmitOp>(&errand.op);
+  if (submit == nullptr ||
+      submit->request.idempotence != Idempotence::kIdempotent ||
+      submit->request.delivery != Delivery::kWait ||
+      configuration::DataCentreOf(errand.cell) == view_->data_centre) {
+    return;
+  }
+  const membership::CellOwner* owner = view_->FindCell(errand.cell);
+  const membership::Member* member =
+      owner == nullptr ? nullptr : view_->FindMember(owner->owner);
+  if (member != nullptr && member->state == membership::MemberState::kLive) {
+    return;
+  }
+  const auto service =
+      configuration_->services.find(submit->request.key.service);
+  if (service == configuration_->services.end()) return;
+  std::vector<membership::WeightedCell> local = AllowedCells(&service->second);
+  std::erase_if(local, [this](const membership::WeightedCell& cell) {
+    return configuration::DataCentreOf(cell.cell) != view_->data_centre;
+  });
+  const auto cell = membership::HomeCell(submit->request.id, local);
+  if (!cell) return;
+  errand.cell = *cell;
+  metrics_.Count(telemetry::Counter::kCallsSpilled);
+}
+
 asio::awaitable<cell::CallReply> CallerFront::Ask(
     std::shared_ptr<Errand> errand) {
   const membership::RouteDecision decision =
--- a/packages/daemon/src/cell_decider.cc
+++ b/packages/daemon/src/cell_decider.cc
@@ -83,7 +83,12 @@
   configuration::CellTopology topology = TopologyOf(message.cell);
   cell::Cell cell(settings_, message.epoch, topology, ShareOf(message.cell),
                   std::move(message.recovered), PresentTime());
-  cells_.erase(message.cell);
+  if (const auto held = cells_.find(message.cell); held != cells_.end()) {
+    // A durable claim follows a provisional one: whoever waits asks again.
+    const Epoch replaced = held->second.cell.epoch();
+    if (message.epoch <= replaced) return;
+    On(CellLost{message.cell, replaced, Reason::kStaleEpoch});
+  }
   cells_.emplace(message.cell, OwnedCell{std::move(cell), {}, false, false});
   outputs_.endpoint.Send(CellTaken{message.epoch, std::move(topology)});
   if (!store_available_) {
--- a/packages/daemon/src/endpoint_link.cc
+++ b/packages/daemon/src/endpoint_link.cc
@@ -45,10 +45,12 @@
 EndpointLink::EndpointLink(runtime::Duty& duty,
                            const EndpointLinkSettings& settings,
                            runtime::Channel<ToDecider>& decider,
+                           runtime::Channel<ToPeer>& peer,
                            telemetry::Metrics& metrics)
     : context_(duty.context()),
       settings_(settings),
       decider_(decider),
+      peer_(peer),
       metrics_(metrics) {}
 
 void EndpointLink::Handle(ToEndpoint message) {
@@ -81,22 +83,48 @@
                              const configuration::CellTopology& topology) {
   for (const configuration::Worker& worker : topology.workers) {
     if (owned.workers.contains(worker.id)) continue;
-    auto& client = clients_[worker.address];
-    if (client == nullptr) {
-      client = std::make_shared<endpoint::WorkerClient>(
-          context_, worker.address, settings_.connections_per_endpoint,
-          settings_.request_timeout);
-    }
     auto subscription = std::make_shared<Subscription>();
     subscription->cell = {topology.id, owned.epoch};
     subscription->worker = worker.id;
-    subscription->client = client;
+    subscription->client = ClientOf(worker);
     subscription->last_contact = runtime::SteadyNow();
     owned.workers[worker.id] = subscription;
     asio::co_spawn(context_, ReadReports(subscription), asio::detached);
   }
 }
 
+std::shared_ptr<endpoint::WorkerClient> EndpointLink::ClientOf(
+    const configuration::Worker& worker) {
+  auto& client = clients_[worker.address];
+  if (client == nullptr) {
+    client = std::make_shared<endpoint::WorkerClient>(
+        context_, worker.address, settings_.connections_per_endpoint,
+        settings_.request_timeout);
+  }
+  return client;
+}
+
+void EndpointLink::On(const LeasesWanted& message) {
+  for (const configuration::Worker& worker : message.topology.workers) {
+    endpoint::CellRef cell{message.topology.id, message.epoch};
+    asio::co_spawn(context_, AskLease(std::move(cell), worker), asio::detached);
+  }
+}
+
+asio::awaitable<void> EndpointLink::AskLease(endpoint::CellRef cell,
+                                             configuration::Worker worker) {
+  const std::shared_ptr<endpoint::WorkerClient> client = ClientOf(worker);
+  LeaseAnswered answer{cell.cell, cell.epoch, worker.id, false};
+  try {
+    co_await client->FetchReport(cell, 0, Duration::zero());
+    answer.granted = true;
+  } catch (const Error& error) {
+    // Silence is neither: the planner asks again in its next round.
+    if (error.reason() != Reason::kStaleEpoch) co_return;
+  }
+  peer_.Send(std::move(answer));
+}
+
 asio::awaitable<void> EndpointLink::ReadReports(SubscriptionPtr subscription) {
   Duration backoff = kFirstBackoff;
   while (subscription->active) {
--- a/packages/daemon/src/instance.cc
+++ b/packages/daemon/src/instance.cc
@@ -90,14 +90,15 @@
                   rings_.decider_to_endpoint, rings_.decider_to_platform},
                  metrics_),
         endpoint_(endpoint_duty_, ToEndpointSettings(settings),
-                  rings_.endpoint_to_decider, metrics_),
+                  rings_.endpoint_to_decider, rings_.endpoint_to_peer,
+                  metrics_),
         platform_(platform_duty_, ToPlatformSettings(settings),
                   {rings_.platform_to_front, rings_.platform_to_decider,
                    rings_.platform_to_peer},
                   metrics_),
         peer_(peer_duty_, ToPeerSettings(settings, incarnation_),
               {rings_.peer_to_front, rings_.peer_to_decider,
-               rings_.peer_to_platform},
+               rings_.peer_to_platform, rings_.peer_to_endpoint},
               metrics_),
         telemetry_(rings_.telemetry_to_front, metrics_) {
     JoinRings();
@@ -130,12 +131,14 @@
           decider_to_endpoint(capacity),
           decider_to_platform(capacity),
           endpoint_to_decider(capacity),
+          endpoint_to_peer(capacity),
           platform_to_front(capacity),
           platform_to_decider(capacity),
           platform_to_peer(capacity),
           peer_to_front(capacity),
           peer_to_decider(capacity),
           peer_to_platform(capacity),
+          peer_to_endpoint(capacity),
           telemetry_to_front(capacity),
           main_to_front(capacity),
           main_to_peer(capacity) {}
@@ -148,12 +151,14 @@
     Channel<ToEndpoint> decider_to_endpoint;
     Channel<ToPlatform> decider_to_platform;
     Channel<ToDecider> endpoint_to_decider;
+    Channel<ToPeer> endpoint_to_peer;
     Channel<ToFront> platform_to_front;
     Channel<ToDecider> platform_to_decider;
     Channel<ToPeer> platform_to_peer;
     Channel<ToFront> peer_to_front;
     Channel<ToDecider> peer_to_decider;
     Channel<ToPlatform> peer_to_platform;
+    Channel<ToEndpoint> peer_to_endpoint;
     Channel<ToFront> telemetry_to_front;
     Channel<ToFront> main_to_front;
     Channel<ToPeer> main_to_peer;
@@ -178,6 +183,8 @@
     Join(rings_.decider_to_endpoint, decider_duty_, endpoint_duty_, endpoint_);
     Join(rings_.decider_to_platform, decider_duty_, platform_duty_, platform_);
     Join(rings_.endpoint_to_decider, endpoint_duty_, decider_duty_, decider_);
+    Join(rings_.endpoint_to_peer, endpoint_duty_, peer_duty_, peer_);
+    Join(rings_.peer_to_endpoint, peer_duty_, endpoint_duty_, endpoint_);
     Join(rings_.platform_to_front, platform_duty_, front_duty_, front_);
     Join(rings_.platform_to_decider, platform_duty_, decider_duty_, decider_);
     Join(rings_.platform_to_peer, platform_duty_, peer_duty_, peer_);
--- a/packages/daemon/src/peer_link.cc
+++ b/packages/daemon/src/peer_link.cc
@@ -40,6 +40,8 @@
       members_(settings.members, settings.self),
       planner_(settings.ownership, settings.self.id, settings.self.peer,
                settings.incarnation),
+      provisional_(membership::ProvisionalSettings{}, settings.self.id,
+                   settings.incarnation),
       udp_(context_, ToEndpointOf<udp::endpoint>(settings.listen)),
       acceptor_(context_, ToEndpointOf<tcp::endpoint>(settings.listen)),
       beat_timer_(context_),
@@ -190,6 +192,62 @@
   const TimePoint now = runtime::SteadyNow();
   const membership::View view = members_.ViewAt(now);
   Perform(planner_.Plan(view, cell_ids_, now));
+  PlanProvisional(view, now);
+}
+
+// Cells of this data centre without an owner while the store cannot name one.
+void PeerLink::PlanProvisional(const membership::View& view, TimePoint now) {
+  if (cells_ == nullptr || leaving_) return;
+  std::vector<membership::CutOffCell> cut_off;
+  for (const configuration::CellTopology& cell : *cells_) {
+    const bool ours =
+        configuration::DataCentreOf(cell.id) == settings_.self.data_centre;
+    if (!ours || planner_.held().contains(cell.id)) continue;
+    membership::CutOffCell candidate{cell.id, {}, {}};
+    for (const configuration::Worker& worker : cell.workers) {
+      candidate.workers.push_back(worker.id);
+    }
+    const membership::CellOwner* owner = view.FindCell(cell.id);
+    if (owner != nullptr) candidate.row_epoch = owner->epoch;
+    cut_off.push_back(std::move(candidate));
+  }
+  Perform(provisional_.Plan(view, cut_off, planner_.store_down_since(), now));
+}
+
+void PeerLink::Perform(
+    const std::vector<membership::ProvisionalAction>& actions) {
+  for (const membership::ProvisionalAction& action : actions) {
+    std::visit(
+        Overloaded{
+            [&](const membership::ObtainLeases& obtain) {
+              outputs_.endpoint.Send(
+                  LeasesWanted{obtain.epoch, TopologyOf(obtain.cell)});
+            },
+            [&](const membership::ServeProvisionally& serve) {
+              outputs_.decider.Send(CellClaimed{serve.cell, serve.epoch, {}});
+            },
+            [&](const membership::EndProvisional& end) {
+              Drop(end.cell, end.epoch, Reason::kStaleEpoch);
+            },
+        },
+        action);
+  }
+}
+
+void PeerLink::On(const LeaseAnswered& message) {
+  if (message.granted) {
+    Perform(provisional_.WorkerGranted(message.cell, message.epoch,
+                                       message.worker));
+  } else {
+    Perform(provisional_.WorkerRefused(message.cell, message.epoch));
+  }
+}
+
+configuration::CellTopology PeerLink::TopologyOf(const CellId& cell) const {
+  for (const configuration::CellTopology& topology : *cells_) {
+    if (topology.id == cell) return topology;
+  }
+  return {cell, {}};
 }
 
 void PeerLink::Perform(
