Keep a cell while leaving without a successor

Change: a leaving instance hands over once another instance of its data centre is live, or when no caller waits here any more.

--- a/packages/daemon/include/jasminespar/daemon/duty_messages.h
+++ b/packages/daemon/include/jasminespar/daemon/duty_messages.h
@@ -263,8 +263,12 @@
   WorkerId worker;
   bool granted = false;
 };
-/// Heartbeats say that this instance leaves; its cells are handed over.
-struct LeaveSite {};
+/// Heartbeats say that this instance leaves; its cells are handed over once
+/// another instance of the data centre is there to take them, or when
+/// `nothing_waits` says that no caller here needs them any more.
+struct LeaveSite {
+  bool nothing_waits = false;
+};
 using ToPeer =
     std::variant<CallForwarded, ForwardAbandoned, PeerReplied, CellsReported,
                  ListReceived, OwnershipAnswer, PeerNotesFound, CellsChanged,
--- a/packages/daemon/include/jasminespar/daemon/peer_link.h
+++ b/packages/daemon/include/jasminespar/daemon/peer_link.h
@@ -97,6 +97,7 @@
   void MarkViewDirty();
   void PublishView();
   void PlanOwnership();
+  [[nodiscard]] bool HasSuccessor(const membership::View& view) const;
   void Perform(const std::vector<membership::OwnershipAction>& actions);
   void PlanProvisional(const membership::View& view, TimePoint now);
   void Perform(const std::vector<membership::ProvisionalAction>& actions);
@@ -119,6 +120,7 @@
   Revision revision_;
   std::uint64_t sequence_ = 0;
   bool leaving_ = false;
+  bool nothing_waits_ = false;  // No caller of this instance, while leaving.
   bool view_dirty_ = false;
   TimePoint last_pull_;
   std::uint32_t owners_told_ = 0;
--- a/packages/daemon/src/instance.cc
+++ b/packages/daemon/src/instance.cc
@@ -223,6 +223,9 @@
     drain_timer_.expires_after(pause);
     drain_timer_.async_wait([this](const boost::system::error_code& error) {
       if (error) return;
+      if (front_.waiting() == 0 && !std::exchange(nothing_waits_, true)) {
+        rings_.main_to_peer.Send(LeaveSite{true});
+      }
       const bool drained = front_.waiting() == 0 && peer_.held_cells() == 0;
       if (drained || runtime::SteadyNow() >= give_up_at_) {
         main_context_.stop();
@@ -253,6 +256,7 @@
   PlatformLink platform_;
   PeerLink peer_;
   TelemetryDuty telemetry_;
+  bool nothing_waits_ = false;
   TimePoint give_up_at_;
   asio::steady_timer drain_timer_{main_context_};
 };
--- a/packages/daemon/src/peer_link.cc
+++ b/packages/daemon/src/peer_link.cc
@@ -82,12 +82,24 @@
   Beat();  // Peers hear of the revision at once and pull it.
 }
 
-void PeerLink::On(const LeaveSite&) {
+void PeerLink::On(const LeaveSite& message) {
   leaving_ = true;
-  planner_.BeginLeave();
+  nothing_waits_ = nothing_waits_ || message.nothing_waits;
   Beat();
 }
 
+// Without a successor a cell given back would leave the callers that wait
+// here without an owner until their deadlines.
+bool PeerLink::HasSuccessor(const membership::View& view) const {
+  return std::any_of(
+      view.members.begin(), view.members.end(),
+      [&](const membership::Member& member) {
+        return member.id != settings_.self.id &&
+               member.data_centre == settings_.self.data_centre &&
+               member.state == membership::MemberState::kLive;
+      });
+}
+
 // Heartbeats.
 
 void PeerLink::Beat() {
@@ -191,6 +203,7 @@
 void PeerLink::PlanOwnership() {
   const TimePoint now = runtime::SteadyNow();
   const membership::View view = members_.ViewAt(now);
+  if (leaving_ && (nothing_waits_ || HasSuccessor(view))) planner_.BeginLeave();
   Perform(planner_.Plan(view, cell_ids_, now));
   PlanProvisional(view, now);
 }
