Keep the whole queue off the hot path

Cause: looking for work that gives way walked whole buckets (its bound was tested by equality and passed by) and every known job, waiting ones included. Ruled out: the timers and the reservation, whose cost does not grow.

--- a/packages/scheduling/include/jasminespar/scheduling/job_table.h
+++ b/packages/scheduling/include/jasminespar/scheduling/job_table.h
@@ -45,6 +45,7 @@
   Duration attained{};  ///< Run time of earlier attempts.
   /// Accelerators counted in the account's borrowed ones.
   std::uint32_t charged = 0;
+  std::size_t running_at = 0;  ///< Place among the started jobs.
 
   /// @return whether no part of the job has been started.
   [[nodiscard]] bool IsWaiting() const noexcept {
--- a/packages/scheduling/src/admission.cc
+++ b/packages/scheduling/src/admission.cc
@@ -98,8 +98,9 @@
   LoadSummary summary;
   summary.free_accelerators = allocator_.tree().free();
   summary.total_accelerators = allocator_.tree().total();
-  summary.waiting_jobs = static_cast<std::uint32_t>(jobs_.size()) - running_;
-  summary.running_jobs = running_;
+  summary.waiting_jobs =
+      static_cast<std::uint32_t>(jobs_.size() - running_.size());
+  summary.running_jobs = static_cast<std::uint32_t>(running_.size());
   summary.largest_free_shape = allocator_.tree().LargestFreeShape();
   if (summary.free_accelerators == 0) {
     const auto wait =
--- a/packages/scheduling/src/decide.cc
+++ b/packages/scheduling/src/decide.cc
@@ -77,12 +77,12 @@
 TimePoint Scheduler::State::DeclaredStart(JobIndex head, TimePoint now) const {
   // The head starts once enough running gangs have come to their declared end.
   std::vector<std::pair<TimePoint, int>> ends;
-  jobs_.ForEach([&](JobIndex, const JobRecord& record) {
-    if (record.IsWaiting()) return;
+  for (const JobIndex job : running_) {
+    const JobRecord& record = jobs_.at(job);
     ends.emplace_back(
         std::max(now, record.started + record.job.declared_run_time),
         record.job.gang.accelerators);
-  });
+  }
   std::sort(ends.begin(), ends.end());
   int free = static_cast<int>(allocator_.tree().free());
   for (const auto& [end, accelerators] : ends) {
@@ -134,12 +134,9 @@
   }
   // As a borrower it could be reclaimed although its guarantee has room.
   if (guaranteed && patient) return std::nullopt;
-  const Misses::Kind kind{request.shape.adjacency, request.reclaimable};
-  const auto miss = misses_.smallest.find(kind);
-  if (miss == misses_.smallest.end() ||
-      request.shape.accelerators < miss->second) {
+  if (!misses_.Contains(request)) {
     if (auto allocated = allocator_.AllocateSpare(request)) return allocated;
-    misses_.smallest[kind] = request.shape.accelerators;
+    misses_.Add(request);
   }
   const Priority priority = jobs_.at(job).job.priority;
   if (priority != Priority::kUrgent) return std::nullopt;
@@ -149,13 +146,14 @@
 std::optional<Allocated> Scheduler::State::AllocateUrgent(
     const GangRequest& request, Priority priority) {
   Displaceable displaceable(allocator_.tree().workers().size());
-  jobs_.ForEach([&](JobIndex job, const JobRecord& record) {
-    if (record.state != JobState::kRunning) return;
-    if (record.job.priority <= priority) return;
+  for (const JobIndex job : running_) {
+    const JobRecord& record = jobs_.at(job);
+    if (record.state != JobState::kRunning) continue;
+    if (record.job.priority <= priority) continue;
     const Gang& gang = allocator_.gang(job);
-    if (gang.hold != HoldClass::kBorrowed) return;
+    if (gang.hold != HoldClass::kBorrowed) continue;
     for (const Part& part : gang.parts) displaceable[part.worker] |= part.mask;
-  });
+  }
   return allocator_.AllocateDisplacing(request, displaceable);
 }
 
@@ -173,7 +171,7 @@
   if (reservation_ && reservation_->job == job) {
     reservation_.reset();
     allocator_.ClearReserved();
-    misses_.smallest.clear();
+    misses_.Clear();
   }
   for (const JobIndex victim : allocated.reclaim) {
     jobs_.at(victim).state = JobState::kReclaiming;
@@ -191,7 +189,7 @@
   JobRecord& record = jobs_.at(job);
   record.state = JobState::kRunning;
   record.started = now;
-  ++running_;
+  AddRunning(job);
   drain_.RecordStart(record.job.priority, record.level,
                      record.job.gang.accelerators, now);
   StartGang start{record.job.id, {}};
--- a/packages/scheduling/src/least_attained.cc
+++ b/packages/scheduling/src/least_attained.cc
@@ -2,6 +2,7 @@
 /// The policy of least attained service, with the reservation for large gangs.
 
 #include <algorithm>
+#include <bit>
 #include <compare>
 #include <queue>
 #include <vector>
@@ -14,6 +15,7 @@
 /// Bounds the work of looking for gangs that give way.
 constexpr Duration kGiveWayInterval = 100ms;
 constexpr std::size_t kMaxGiveWay = 64;
+constexpr std::size_t kMaxGiveWayOfBucket = 8;
 
 /// Order in which the first jobs of the buckets are tried; smallest first.
 struct Rank {
@@ -43,12 +45,8 @@
   const auto gang = static_cast<std::uint32_t>(key.shape.accelerators);
   if (key.priority == Priority::kUrgent) return true;
   if (allocator_.tree().free() >= gang) {
-    const auto miss =
-        misses_.smallest.find({key.shape.adjacency, key.reclaimable});
-    if (miss == misses_.smallest.end() ||
-        key.shape.accelerators < miss->second) {
-      return true;
-    }
+    const GangRequest request{kNoJob, key.account, key.shape, key.reclaimable};
+    if (!misses_.Contains(request)) return true;
   }
   return HasGuaranteeRoom(key.account, key.shape);
 }
@@ -106,15 +104,19 @@
 Displaceable Scheduler::State::Giving(const LeastAttainedService& policy,
                                       std::uint8_t level, TimePoint now) const {
   Displaceable giving(allocator_.tree().workers().size());
-  jobs_.ForEach([&](JobIndex job, const JobRecord& record) {
-    if (record.state != JobState::kRunning) return;
-    if (now - record.started < policy.give_way_min_run) return;
+  for (const JobIndex job : running_) {
+    const JobRecord& record = jobs_.at(job);
+    if (record.state != JobState::kRunning) continue;
+    if (now - record.started < policy.give_way_min_run) continue;
     const Gang& gang = allocator_.gang(job);
-    if (gang.hold != HoldClass::kBorrowed) return;
+    if (gang.hold != HoldClass::kBorrowed) continue;
     const Duration attained = record.attained + (now - record.started);
-    if (LevelOf(record.job, attained) <= level) return;
+    // The level at entry spares most jobs the look into the model.
+    if (record.level <= level && LevelOf(record.job, attained) <= level) {
+      continue;
+    }
     for (const Part& part : gang.parts) giving[part.worker] |= part.mask;
-  });
+  }
   return giving;
 }
 
@@ -124,20 +126,28 @@
   std::vector<QueuePosition> due;
   for (const auto& [key, bucket] : queue_.buckets()) {
     if (key.level > 0 || key.priority == Priority::kBatch) continue;
+    std::size_t of_bucket = 0;
     for (const QueuePosition& position : bucket) {
       if (now < position.arrival + policy.give_way_wait) break;
+      if (of_bucket++ == kMaxGiveWayOfBucket) break;
       due.push_back(position);
-      if (due.size() == kMaxGiveWay) break;
     }
   }
   if (due.empty()) return;
   last_give_way_ = now;
   const Displaceable giving = Giving(policy, 0, now);
   std::sort(due.begin(), due.end());
+  if (due.size() > kMaxGiveWay) due.resize(kMaxGiveWay);
+  Misses misses;
   for (const QueuePosition& position : due) {
-    const auto allocated =
-        allocator_.AllocateDisplacing(RequestOf(position.job), giving);
-    if (allocated) Started(position.job, *allocated, now);
+    const GangRequest request = RequestOf(position.job);
+    if (misses.Contains(request)) continue;
+    const auto allocated = allocator_.AllocateDisplacing(request, giving);
+    if (allocated) {
+      Started(position.job, *allocated, now);
+    } else {
+      misses.Add(request);
+    }
   }
 }
 
@@ -173,6 +183,7 @@
   allocator_.ClearReserved();
   if (TryStart(job, now)) return;
   Displaceable displaceable(allocator_.tree().workers().size());
+  auto most = static_cast<int>(allocator_.tree().free());
   for (const Part& part : reservation_->parts) {
     displaceable[part.worker] |=
         allocator_.HeldBorrowed(part, [&](JobIndex holder) {
@@ -182,9 +193,12 @@
                  record.job.arrival > jobs_.at(job).job.arrival &&
                  record.job.priority >= jobs_.at(job).job.priority;
         });
+    most += std::popcount(displaceable[part.worker]);
+  }
+  std::optional<Allocated> allocated;
+  if (most >= jobs_.at(job).job.gang.accelerators) {
+    allocated = allocator_.AllocateDisplacing(RequestOf(job), displaceable);
   }
-  const auto allocated =
-      allocator_.AllocateDisplacing(RequestOf(job), displaceable);
   if (allocated) {
     Started(job, *allocated, now);
     return;
--- a/packages/scheduling/src/scheduler_state.cc
+++ b/packages/scheduling/src/scheduler_state.cc
@@ -62,9 +62,21 @@
              static_cast<std::uint32_t>(shape.accelerators);
 }
 
+void Scheduler::State::AddRunning(JobIndex job) {
+  jobs_.at(job).running_at = running_.size();
+  running_.push_back(job);
+}
+
+void Scheduler::State::RemoveRunning(JobIndex job) {
+  const std::size_t at = jobs_.at(job).running_at;
+  running_[at] = running_.back();
+  jobs_.at(running_[at]).running_at = at;
+  running_.pop_back();
+}
+
 void Scheduler::State::NoteFreed() {
   freed_ = true;
-  misses_.smallest.clear();
+  misses_.Clear();
 }
 
 void Scheduler::State::Charge(JobIndex job) {
@@ -227,7 +239,7 @@
     return;
   }
   Charge(index);
-  ++running_;
+  AddRunning(index);
 }
 
 void Scheduler::State::Release(const CallId& id, TimePoint now) {
@@ -241,8 +253,8 @@
   }
   Discharge(job);
   MarkReady(allocator_.Release(job));
+  RemoveRunning(job);
   jobs_.Erase(job);
-  --running_;
   NoteFreed();
 }
 
--- a/packages/scheduling/src/scheduler_state.h
+++ b/packages/scheduling/src/scheduler_state.h
@@ -4,6 +4,7 @@
 #ifndef JASMINESPAR_SCHEDULING_SRC_SCHEDULER_STATE_H_
 #define JASMINESPAR_SCHEDULING_SRC_SCHEDULER_STATE_H_
 
+#include <array>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -71,14 +72,25 @@
                                                    TimePoint now) const;
 
  private:
-  /// Shapes found not to fit, since the last time accelerators were freed.
-  struct Misses {
-    struct Kind {
-      Adjacency adjacency = Adjacency::kAny;
-      bool reclaimable = true;
-      auto operator<=>(const Kind&) const = default;
-    };
-    std::map<Kind, int> smallest;  ///< Accelerators.
+  /// Gangs found not to fit, since the last time accelerators were freed:
+  /// the smallest of each adjacency and right; larger ones do not fit either.
+  class Misses {
+   public:
+    [[nodiscard]] bool Contains(const GangRequest& request) const {
+      const int smallest = smallest_[IndexOf(request)];
+      return smallest > 0 && request.shape.accelerators >= smallest;
+    }
+    void Add(const GangRequest& request) {
+      smallest_[IndexOf(request)] = request.shape.accelerators;
+    }
+    void Clear() { smallest_.fill(0); }
+
+   private:
+    static std::size_t IndexOf(const GangRequest& request) {
+      return static_cast<std::size_t>(request.shape.adjacency) * 2 +
+             (request.reclaimable ? 1 : 0);
+    }
+    std::array<int, kAdjacencyNames.size() * 2> smallest_{};
   };
 
   // admission.cc
@@ -119,6 +131,8 @@
   void ReturnClaims(const std::vector<JobIndex>& returned);
   void MarkReady(const std::vector<JobIndex>& ready);
   void NoteFreed();
+  void AddRunning(JobIndex job);
+  void RemoveRunning(JobIndex job);
   void SetTimers(JobIndex job);
   void TakeTimers(TimePoint now);
   [[nodiscard]] bool IsStale(const Timer& timer) const;
@@ -146,7 +160,7 @@
   bool full_pass_ = false;  ///< Every bucket is looked at in this pass.
   Duration reclaim_patience_{};
   TimePoint last_give_way_;
-  std::uint32_t running_ = 0;
+  std::vector<JobIndex> running_;  ///< In no order; see running_at.
 };
 
 }  // namespace jasminespar::scheduling
