Bound the work of giving way and count guarantees in use

Cause: every look for work that gives way sorted all waiting heads, tried 64 of them and asked the model of run times for each gang; what a guarantee still has was summed over its shapes for each bucket. Ruled out: looking more seldom than each 100 ms, which Sao Mai's crest feels. Change: a heap of the heads, at most 16 starts a look, levels from attained service alone, a running count for each virtual cluster.

--- a/packages/scheduling/include/jasminespar/scheduling/guarantee_plan.h
+++ b/packages/scheduling/include/jasminespar/scheduling/guarantee_plan.h
@@ -45,12 +45,6 @@
     CellTree& tree, VirtualClusters& clusters, AccountIndex account,
     const std::vector<Part>& parts);
 
-/// Upper bound on what the account's guarantee still has for a gang.
-/// @return accelerators.
-[[nodiscard]] std::uint32_t UnusedGuarantee(const CellTree& tree,
-                                            const VirtualClusters& clusters,
-                                            AccountIndex account);
-
 }  // namespace jasminespar::scheduling
 
 #endif  // JASMINESPAR_SCHEDULING_GUARANTEE_PLAN_H_
--- a/packages/scheduling/include/jasminespar/scheduling/job_table.h
+++ b/packages/scheduling/include/jasminespar/scheduling/job_table.h
@@ -33,9 +33,6 @@
 }};
 static_assert(IsDense(kJobStateNames));
 
-/// Number of levels of attained service.
-inline constexpr std::size_t kServiceLevels = 4;
-
 struct JobRecord {
   Job job;
   AccountIndex account = 0;
--- a/packages/scheduling/include/jasminespar/scheduling/policy.h
+++ b/packages/scheduling/include/jasminespar/scheduling/policy.h
@@ -5,6 +5,7 @@
 #ifndef JASMINESPAR_SCHEDULING_POLICY_H_
 #define JASMINESPAR_SCHEDULING_POLICY_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <string_view>
 #include <variant>
@@ -43,6 +44,14 @@
   Duration reclaim_patience = 300ms;
 };
 
+/// Number of levels of attained service.
+inline constexpr std::size_t kServiceLevels = 4;
+
+/// @param service accelerators times run time.
+/// @return the level, 0 to kServiceLevels - 1.
+[[nodiscard]] std::uint8_t LevelOfService(const LeastAttainedService& policy,
+                                          Duration service);
+
 using QueuePolicy =
     std::variant<FirstComeFirstServed, DeclaredBackfill, LeastAttainedService>;
 
--- a/packages/scheduling/include/jasminespar/scheduling/virtual_clusters.h
+++ b/packages/scheduling/include/jasminespar/scheduling/virtual_clusters.h
@@ -38,7 +38,13 @@
   std::array<std::uint32_t, kLevels> guaranteed{};
   std::array<std::uint32_t, kLevels> bound{};
   std::vector<BindingId> bindings;
+  std::int64_t promised = 0;  ///< Accelerators of all guaranteed shapes.
+  std::int64_t used = 0;      ///< Accelerators in use inside bound shapes.
 
+  /// @return accelerators that the guarantee still has for a gang, at most.
+  [[nodiscard]] std::int64_t Unused() const noexcept {
+    return promised > used ? promised - used : 0;
+  }
   [[nodiscard]] std::uint32_t Unbound(ShapeLevel level) const noexcept {
     const auto i = static_cast<std::size_t>(level);
     return guaranteed[i] > bound[i] ? guaranteed[i] - bound[i] : 0;
--- a/packages/scheduling/src/admission.cc
+++ b/packages/scheduling/src/admission.cc
@@ -12,22 +12,11 @@
 
 constexpr Duration kMinRetryAfter = 250ms;
 constexpr Duration kMaxRetryAfter = 60s;
-constexpr std::int64_t kLevelFactor = 10;
 
 Refusal NotRun(Reason reason, Duration retry_after, std::string detail = {}) {
   return Refusal{reason, Verdict::kNotRun, retry_after, std::move(detail)};
 }
 
-std::uint8_t LevelFor(const LeastAttainedService& policy, Duration service) {
-  std::uint8_t level = 0;
-  Duration bound = policy.first_level;
-  while (service >= bound && level + 1U < kServiceLevels) {
-    ++level;
-    bound *= kLevelFactor;
-  }
-  return level;
-}
-
 }  // namespace
 
 std::uint8_t Scheduler::State::LevelOf(const Job& job,
@@ -39,7 +28,7 @@
     const auto typical = run_times_.Typical(job.service, job.gang.accelerators);
     service = std::max(service, typical.value_or(Duration{}));
   }
-  return LevelFor(*policy, service * job.gang.accelerators);
+  return LevelOfService(*policy, service * job.gang.accelerators);
 }
 
 Duration Scheduler::State::DrainTime(const JobRecord& record,
@@ -56,9 +45,7 @@
   if (policy == nullptr) return std::nullopt;
   const auto gang = static_cast<std::uint32_t>(record.job.gang.accelerators);
   if (allocator_.tree().free() >= gang) return std::nullopt;
-  if (accounts_[record.account].has_guarantee &&
-      UnusedGuarantee(allocator_.tree(), allocator_.clusters(),
-                      record.account) >= gang) {
+  if (HasGuaranteeRoom(record.account, record.job.gang)) {
     return std::nullopt;
   }
   const auto wait = drain_.ExpectedWait(queue_.demand(), record.job.priority,
--- a/packages/scheduling/src/guarantee_plan.cc
+++ b/packages/scheduling/src/guarantee_plan.cc
@@ -295,22 +295,4 @@
   return InSeveralShapes(tree, clusters, account, shape.accelerators, rule);
 }
 
-std::uint32_t UnusedGuarantee(const CellTree& tree,
-                              const VirtualClusters& clusters,
-                              AccountIndex account) {
-  const VirtualCluster& cluster = clusters.cluster(account);
-  std::int64_t unused = 0;
-  for (std::size_t i = 0; i < kLevels; ++i) {
-    const auto level = static_cast<ShapeLevel>(i);
-    unused +=
-        tree.Ratio(level, ShapeLevel::kAccelerator) * cluster.Unbound(level);
-  }
-  for (const BindingId id : cluster.bindings) {
-    const Binding& binding = clusters.binding(id);
-    unused += tree.Ratio(binding.place.level, ShapeLevel::kAccelerator) -
-              binding.used;
-  }
-  return static_cast<std::uint32_t>(std::max<std::int64_t>(0, unused));
-}
-
 }  // namespace jasminespar::scheduling
--- a/packages/scheduling/src/least_attained.cc
+++ b/packages/scheduling/src/least_attained.cc
@@ -14,8 +14,7 @@
 
 /// Bounds the work of looking for gangs that give way.
 constexpr Duration kGiveWayInterval = 100ms;
-constexpr std::size_t kMaxGiveWay = 64;
-constexpr std::size_t kMaxGiveWayOfBucket = 8;
+constexpr std::size_t kMaxGiveWay = 16;
 
 /// Order in which the first jobs of the buckets are tried; smallest first.
 struct Rank {
@@ -33,6 +32,18 @@
   const BucketKey* key = nullptr;  ///< Of a bucket that has jobs.
 };
 
+/// First job of a bucket.
+struct Waiting {
+  QueuePosition position;
+  BucketKey key;
+};
+
+struct Younger {
+  bool operator()(const Waiting& a, const Waiting& b) const {
+    return a.position > b.position;
+  }
+};
+
 struct Later {
   bool operator()(const Entry& a, const Entry& b) const {
     return a.rank > b.rank;
@@ -111,8 +122,10 @@
     const Gang& gang = allocator_.gang(job);
     if (gang.hold != HoldClass::kBorrowed) continue;
     const Duration attained = record.attained + (now - record.started);
-    // The level at entry spares most jobs the look into the model.
-    if (record.level <= level && LevelOf(record.job, attained) <= level) {
+    // The level at entry holds what the model knew.
+    if (record.level <= level &&
+        LevelOfService(policy, attained * record.job.gang.accelerators) <=
+            level) {
       continue;
     }
     for (const Part& part : gang.parts) giving[part.worker] |= part.mask;
@@ -123,31 +136,36 @@
 void Scheduler::State::GiveWay(const LeastAttainedService& policy,
                                TimePoint now) {
   if (now < last_give_way_ + kGiveWayInterval) return;
-  std::vector<QueuePosition> due;
+  const auto is_due = [&](const QueuePosition& position) {
+    return now >= position.arrival + policy.give_way_wait;
+  };
+  std::vector<Waiting> due;
   for (const auto& [key, bucket] : queue_.buckets()) {
     if (key.level > 0 || key.priority == Priority::kBatch) continue;
-    std::size_t of_bucket = 0;
-    for (const QueuePosition& position : bucket) {
-      if (now < position.arrival + policy.give_way_wait) break;
-      if (of_bucket++ == kMaxGiveWayOfBucket) break;
-      due.push_back(position);
-    }
+    if (is_due(*bucket.begin())) due.push_back({*bucket.begin(), key});
   }
   if (due.empty()) return;
   last_give_way_ = now;
   const Displaceable giving = Giving(policy, 0, now);
-  std::sort(due.begin(), due.end());
-  if (due.size() > kMaxGiveWay) due.resize(kMaxGiveWay);
+  std::make_heap(due.begin(), due.end(), Younger{});
   Misses misses;
-  for (const QueuePosition& position : due) {
-    const GangRequest request = RequestOf(position.job);
+  for (std::size_t i = 0; i < kMaxGiveWay && !due.empty(); ++i) {
+    std::pop_heap(due.begin(), due.end(), Younger{});
+    const Waiting first = due.back();
+    due.pop_back();
+    const GangRequest request = RequestOf(first.position.job);
     if (misses.Contains(request)) continue;
     const auto allocated = allocator_.AllocateDisplacing(request, giving);
-    if (allocated) {
-      Started(position.job, *allocated, now);
-    } else {
+    if (!allocated) {
       misses.Add(request);
+      continue;
     }
+    Started(first.position.job, *allocated, now);
+    const auto bucket = queue_.buckets().find(first.key);
+    if (bucket == queue_.buckets().end()) continue;
+    if (!is_due(*bucket->second.begin())) continue;
+    due.push_back({*bucket->second.begin(), first.key});
+    std::push_heap(due.begin(), due.end(), Younger{});
   }
 }
 
--- a/packages/scheduling/src/scheduler_state.cc
+++ b/packages/scheduling/src/scheduler_state.cc
@@ -58,8 +58,7 @@
 bool Scheduler::State::HasGuaranteeRoom(AccountIndex account,
                                         const GangShape& shape) const {
   return accounts_[account].has_guarantee &&
-         UnusedGuarantee(allocator_.tree(), allocator_.clusters(), account) >=
-             static_cast<std::uint32_t>(shape.accelerators);
+         allocator_.clusters().cluster(account).Unused() >= shape.accelerators;
 }
 
 void Scheduler::State::AddRunning(JobIndex job) {
--- a/packages/scheduling/src/virtual_clusters.cc
+++ b/packages/scheduling/src/virtual_clusters.cc
@@ -36,8 +36,11 @@
 
 void VirtualClusters::Recount(const CellTree& tree) {
   need_.fill(0);
-  for (const VirtualCluster& cluster : clusters_) {
+  for (VirtualCluster& cluster : clusters_) {
+    cluster.promised = 0;
     for (std::size_t i = 0; i < kLevels; ++i) {
+      cluster.promised += cluster.guaranteed[i] *
+                          tree.Ratio(LevelOf(i), ShapeLevel::kAccelerator);
       AddNeed(tree, LevelOf(i), cluster.Unbound(LevelOf(i)));
     }
   }
@@ -82,6 +85,7 @@
 
 void VirtualClusters::Use(BindingId id, std::uint32_t accelerators) {
   bindings_[id].used += accelerators;
+  clusters_[bindings_[id].account].used += accelerators;
 }
 
 void VirtualClusters::EndUse(CellTree& tree, BindingId id,
@@ -89,6 +93,7 @@
   Binding& binding = bindings_[id];
   Ensure(binding.used >= accelerators, "binding used less than nothing");
   binding.used -= accelerators;
+  clusters_[binding.account].used -= accelerators;
   if (binding.used == 0) Dissolve(tree, id);
 }
 
@@ -97,6 +102,7 @@
   VirtualCluster& cluster = clusters_[binding.account];
   const std::uint32_t before = cluster.Unbound(binding.place.level);
   --cluster.bound[IndexOf(binding.place.level)];
+  cluster.used -= binding.used;
   // A shape whose guarantee was withdrawn adds no need when it is unbound.
   AddNeed(tree, binding.place.level,
           cluster.Unbound(binding.place.level) - before);
