--- a/packages/scheduling/src/least_attained.cc
+++ b/packages/scheduling/src/least_attained.cc
@@ -22,7 +22,6 @@
   bool borrows = false;    ///< Its account's guarantee has no room for it.
   std::int64_t level = 0;  ///< Aged; may be negative.
   double share = 0;
-  int larger_first = 0;  ///< Accelerators, negative.
   TimePoint arrival;
   JobIndex job = kNoJob;
   auto operator<=>(const Rank&) const = default;
@@ -76,10 +75,10 @@
     // Without patience a guaranteed job reclaims at once and needs no lead.
     const bool borrows = reclaim_patience_ > Duration{} &&
                          !HasGuaranteeRoom(key.account, key.shape);
-    order.push(Entry{Rank{key.priority, borrows, key.level - aged,
-                          accounts_[key.account].Share(),
-                          -key.shape.accelerators, record.job.arrival, head},
-                     &key});
+    order.push(
+        Entry{Rank{key.priority, borrows, key.level - aged,
+                   accounts_[key.account].Share(), record.job.arrival, head},
+              &key});
   };
   const auto push_bucket = [&](const BucketKey& key) {
     const auto bucket = queue_.buckets().find(key);
