--- a/benchmark/policy.cc
+++ b/benchmark/policy.cc
@@ -1,8 +1,11 @@
 /// @file
 /// Compares scheduling policies on seeded traces in virtual time.
 ///
-///     bench_policy [SEEDS] [FIRST_SEED] > policy.csv
+///     bench_policy [SEEDS] [FIRST_SEED] [DEADLINE_S] [LOSE] > policy.csv
 ///
+/// DEADLINE_S is the deadline of Sao Mai's short calls, 30 by default.
+/// With LOSE = 1 a reclaimed gang starts over; by default it goes on from its
+/// checkpoint.
 /// One CSV row for each user, policy and seed goes to stdout; a Markdown table
 /// of means and ranges over the seeds goes to stderr.
 
@@ -21,6 +24,7 @@
 namespace {
 
 constexpr std::uint64_t kDefaultSeeds = 10;
+constexpr std::uint64_t kDeadlineSeconds = 30;
 
 struct NamedPolicy {
   std::string_view name;
@@ -63,6 +67,14 @@
           {"with_giving_way", giving_way}, {"shipped", PolicySettings{}}};
 }
 
+/// What the command line sets.
+struct Options {
+  std::uint64_t seeds = kDefaultSeeds;
+  std::uint64_t first_seed = 1;
+  Duration short_deadline = std::chrono::seconds(kDeadlineSeconds);
+  ReclaimModel reclaim;
+};
+
 struct Metric {
   std::string_view name;
   double (*value)(Results&);
@@ -138,15 +150,23 @@
   std::printf("\n");
 }
 
-void RunPolicy(User user, const NamedPolicy& policy, std::uint64_t seeds,
-               std::uint64_t first) {
+void SetShortDeadline(Trace& trace, Duration deadline) {
+  for (TraceJob& made : trace.jobs) {
+    if (made.is_short) made.job.deadline = made.job.arrival + deadline;
+  }
+}
+
+void RunPolicy(User user, const NamedPolicy& policy, const Options& options) {
   std::vector<std::vector<double>> columns(std::size(kMetrics));
   const std::string user_name(RowOf(kUserNames, user).name);
-  for (std::uint64_t seed = first; seed < first + seeds; ++seed) {
+  for (std::uint64_t i = 0; i < options.seeds; ++i) {
+    const std::uint64_t seed = options.first_seed + i;
     Results results;
     for (std::uint32_t cell = 0; cell < CellsOf(user); ++cell) {
-      RunTrace(MakeTrace(user, seed, cell), policy.settings, ReclaimModel{},
-               results);
+      Trace trace = MakeTrace(user, seed, cell);
+      if (user == User::kSaoMai)
+        SetShortDeadline(trace, options.short_deadline);
+      RunTrace(trace, policy.settings, options.reclaim, results);
     }
     std::printf("%s,%s,%llu,%llu", user_name.c_str(),
                 std::string(policy.name).c_str(),
@@ -167,7 +187,7 @@
   std::fprintf(stderr, "\n");
 }
 
-void Run(std::uint64_t seeds, std::uint64_t first) {
+void Run(const Options& options) {
   PrintHeader();
   std::fprintf(stderr, "| user | policy |");
   for (const Metric& metric : kMetrics) {
@@ -176,7 +196,7 @@
   std::fprintf(stderr, "\n");
   for (const auto& user : kUserNames) {
     for (const NamedPolicy& policy : Policies()) {
-      RunPolicy(user.value, policy, seeds, first);
+      RunPolicy(user.value, policy, options);
     }
   }
 }
@@ -188,7 +208,12 @@
   const auto argument = [&](int index, std::uint64_t otherwise) {
     return argc > index ? std::strtoull(argv[index], nullptr, 10) : otherwise;
   };
-  jasminespar::benchmark::Run(
-      argument(1, jasminespar::benchmark::kDefaultSeeds), argument(2, 1));
+  jasminespar::benchmark::Options options;
+  options.seeds = argument(1, options.seeds);
+  options.first_seed = argument(2, options.first_seed);
+  options.short_deadline = std::chrono::seconds(
+      argument(3, jasminespar::benchmark::kDeadlineSeconds));
+  options.reclaim.keeps_progress = argument(4, 0) == 0;
+  jasminespar::benchmark::Run(options);
   return 0;
 }
