Wake only for the first job of a bucket

Cause: timers of jobs far back in the queue each forced a full pass, and each was looked up by its call id. Ruled out: fewer timers; each of the three rights needs one. Change: a timer of a job that is not the first of its bucket is dropped; slots without a job say so.

--- a/packages/scheduling/include/jasminespar/scheduling/job_table.h
+++ b/packages/scheduling/include/jasminespar/scheduling/job_table.h
@@ -17,6 +17,7 @@
 namespace jasminespar::scheduling {
 
 enum class JobState : std::uint8_t {
+  kNone,
   kWaiting,
   kClaiming,
   kReady,
@@ -24,7 +25,8 @@
   kReclaiming,
 };
 
-inline constexpr NameTable<JobState, 5> kJobStateNames{{
+inline constexpr NameTable<JobState, 6> kJobStateNames{{
+    {JobState::kNone, "none", "No job has this slot."},
     {JobState::kWaiting, "waiting", "In the queue."},
     {JobState::kClaiming, "claiming", "Waits for gangs to give way."},
     {JobState::kReady, "ready", "Starts with the next decision."},
@@ -77,6 +79,7 @@
   void Erase(JobIndex job) {
     index_.erase(records_[job].job.id);
     records_[job] = JobRecord{};
+    records_[job].state = JobState::kNone;
     unused_.push_back(job);
   }
   [[nodiscard]] std::size_t size() const noexcept { return index_.size(); }
--- a/packages/scheduling/include/jasminespar/scheduling/waiting_queue.h
+++ b/packages/scheduling/include/jasminespar/scheduling/waiting_queue.h
@@ -57,6 +57,11 @@
     return buckets_;
   }
   [[nodiscard]] BucketKey KeyOf(const JobRecord& record) const;
+  /// @return whether a waiting job is the first of its bucket.
+  [[nodiscard]] bool IsFirst(JobIndex job, const JobRecord& record) const {
+    const auto bucket = buckets_.find(KeyOf(record));
+    return bucket != buckets_.end() && bucket->second.begin()->job == job;
+  }
   /// @return a number that no other entry of a job into the queue has had.
   [[nodiscard]] std::uint64_t EntryOf(JobIndex job) const {
     return sequence_[job];
--- a/packages/scheduling/src/scheduler_state.cc
+++ b/packages/scheduling/src/scheduler_state.cc
@@ -123,19 +123,20 @@
 }
 
 bool Scheduler::State::IsStale(const Timer& timer) const {
-  const JobRecord& record = jobs_.at(timer.job);
-  return record.state != JobState::kWaiting ||
-         jobs_.Find(record.job.id) != timer.job ||
+  return jobs_.at(timer.job).state != JobState::kWaiting ||
          queue_.EntryOf(timer.job) != timer.entry;
 }
 
 void Scheduler::State::TakeTimers(TimePoint now) {
   while (!timers_.empty()) {
-    const Timer& timer = timers_.top();
+    const Timer timer = timers_.top();
     const bool stale = IsStale(timer);
     if (!stale && timer.at > now) return;
-    if (!stale) freed_ = true;
     timers_.pop();
+    // Jobs behind the first of a bucket are tried when it is their turn.
+    if (!stale && queue_.IsFirst(timer.job, jobs_.at(timer.job))) {
+      freed_ = true;
+    }
   }
 }
 
