--- a/packages/scheduling/src/least_attained.cc
+++ b/packages/scheduling/src/least_attained.cc
@@ -2,6 +2,7 @@
 /// The policy of least attained service, with the reservation for large gangs.
 
 #include <algorithm>
+#include <bit>
 #include <compare>
 #include <queue>
 #include <vector>
@@ -13,7 +14,7 @@
 
 /// Bounds the work of looking for gangs that give way.
 constexpr Duration kGiveWayInterval = 100ms;
-constexpr std::size_t kMaxGiveWay = 64;
+constexpr std::size_t kMaxGiveWay = 16;
 
 /// Order in which the first jobs of the buckets are tried; smallest first.
 struct Rank {
@@ -31,6 +32,18 @@
   const BucketKey* key = nullptr;  ///< Of a bucket that has jobs.
 };
 
+/// First job of a bucket.
+struct Waiting {
+  QueuePosition position;
+  BucketKey key;
+};
+
+struct Younger {
+  bool operator()(const Waiting& a, const Waiting& b) const {
+    return a.position > b.position;
+  }
+};
+
 struct Later {
   bool operator()(const Entry& a, const Entry& b) const {
     return a.rank > b.rank;
@@ -43,12 +56,8 @@
   const auto gang = static_cast<std::uint32_t>(key.shape.accelerators);
   if (key.priority == Priority::kUrgent) return true;
   if (allocator_.tree().free() >= gang) {
-    const auto miss =
-        misses_.smallest.find({key.shape.adjacency, key.reclaimable});
-    if (miss == misses_.smallest.end() ||
-        key.shape.accelerators < miss->second) {
-      return true;
-    }
+    const GangRequest request{kNoJob, key.account, key.shape, key.reclaimable};
+    if (!misses_.Contains(request)) return true;
   }
   return HasGuaranteeRoom(key.account, key.shape);
 }
@@ -106,38 +115,57 @@
 Displaceable Scheduler::State::Giving(const LeastAttainedService& policy,
                                       std::uint8_t level, TimePoint now) const {
   Displaceable giving(allocator_.tree().workers().size());
-  jobs_.ForEach([&](JobIndex job, const JobRecord& record) {
-    if (record.state != JobState::kRunning) return;
-    if (now - record.started < policy.give_way_min_run) return;
+  for (const JobIndex job : running_) {
+    const JobRecord& record = jobs_.at(job);
+    if (record.state != JobState::kRunning) continue;
+    if (now - record.started < policy.give_way_min_run) continue;
     const Gang& gang = allocator_.gang(job);
-    if (gang.hold != HoldClass::kBorrowed) return;
+    if (gang.hold != HoldClass::kBorrowed) continue;
     const Duration attained = record.attained + (now - record.started);
-    if (LevelOf(record.job, attained) <= level) return;
+    // The level at entry holds what the model knew.
+    if (record.level <= level &&
+        LevelOfService(policy, attained * record.job.gang.accelerators) <=
+            level) {
+      continue;
+    }
     for (const Part& part : gang.parts) giving[part.worker] |= part.mask;
-  });
+  }
   return giving;
 }
 
 void Scheduler::State::GiveWay(const LeastAttainedService& policy,
                                TimePoint now) {
   if (now < last_give_way_ + kGiveWayInterval) return;
-  std::vector<QueuePosition> due;
+  const auto is_due = [&](const QueuePosition& position) {
+    return now >= position.arrival + policy.give_way_wait;
+  };
+  std::vector<Waiting> due;
   for (const auto& [key, bucket] : queue_.buckets()) {
     if (key.level > 0 || key.priority == Priority::kBatch) continue;
-    for (const QueuePosition& position : bucket) {
-      if (now < position.arrival + policy.give_way_wait) break;
-      due.push_back(position);
-      if (due.size() == kMaxGiveWay) break;
-    }
+    if (is_due(*bucket.begin())) due.push_back({*bucket.begin(), key});
   }
   if (due.empty()) return;
   last_give_way_ = now;
   const Displaceable giving = Giving(policy, 0, now);
-  std::sort(due.begin(), due.end());
-  for (const QueuePosition& position : due) {
-    const auto allocated =
-        allocator_.AllocateDisplacing(RequestOf(position.job), giving);
-    if (allocated) Started(position.job, *allocated, now);
+  std::make_heap(due.begin(), due.end(), Younger{});
+  Misses misses;
+  for (std::size_t i = 0; i < kMaxGiveWay && !due.empty(); ++i) {
+    std::pop_heap(due.begin(), due.end(), Younger{});
+    const Waiting first = due.back();
+    due.pop_back();
+    const GangRequest request = RequestOf(first.position.job);
+    if (misses.Contains(request)) continue;
+    const auto allocated = allocator_.AllocateDisplacing(request, giving);
+    if (!allocated) {
+      misses.Add(request);
+      continue;
+    }
+    Started(first.position.job, *allocated, now);
+    const auto bucket = queue_.buckets().find(first.key);
+    if (bucket == queue_.buckets().end()) continue;
+    if (!is_due(*bucket->second.begin())) continue;
+    due.push_back({*bucket->second.begin(), first.key});
+    std::push_heap(due.begin(), due.end(), Younger{});
   }
 }
 
@@ -173,6 +201,7 @@
   allocator_.ClearReserved();
   if (TryStart(job, now)) return;
   Displaceable displaceable(allocator_.tree().workers().size());
+  auto most = static_cast<int>(allocator_.tree().free());
   for (const Part& part : reservation_->parts) {
     displaceable[part.worker] |=
         allocator_.HeldBorrowed(part, [&](JobIndex holder) {
@@ -182,9 +211,12 @@
                  record.job.arrival > jobs_.at(job).job.arrival &&
                  record.job.priority >= jobs_.at(job).job.priority;
         });
+    most += std::popcount(displaceable[part.worker]);
+  }
+  std::optional<Allocated> allocated;
+  if (most >= jobs_.at(job).job.gang.accelerators) {
+    allocated = allocator_.AllocateDisplacing(RequestOf(job), displaceable);
   }
-  const auto allocated =
-      allocator_.AllocateDisplacing(RequestOf(job), displaceable);
   if (allocated) {
     Started(job, *allocated, now);
     return;
--- a/packages/scheduling/src/scheduler_state.cc
+++ b/packages/scheduling/src/scheduler_state.cc
@@ -58,13 +58,24 @@
 bool Scheduler::State::HasGuaranteeRoom(AccountIndex account,
                                         const GangShape& shape) const {
   return accounts_[account].has_guarantee &&
-         UnusedGuarantee(allocator_.tree(), allocator_.clusters(), account) >=
-             static_cast<std::uint32_t>(shape.accelerators);
+         allocator_.clusters().cluster(account).Unused() >= shape.accelerators;
+}
+
+void Scheduler::State::AddRunning(JobIndex job) {
+  jobs_.at(job).running_at = running_.size();
+  running_.push_back(job);
+}
+
+void Scheduler::State::RemoveRunning(JobIndex job) {
+  const std::size_t at = jobs_.at(job).running_at;
+  running_[at] = running_.back();
+  jobs_.at(running_[at]).running_at = at;
+  running_.pop_back();
 }
 
 void Scheduler::State::NoteFreed() {
   freed_ = true;
-  misses_.smallest.clear();
+  misses_.Clear();
 }
 
 void Scheduler::State::Charge(JobIndex job) {
@@ -112,19 +123,20 @@
 }
 
 bool Scheduler::State::IsStale(const Timer& timer) const {
-  const JobRecord& record = jobs_.at(timer.job);
-  return record.state != JobState::kWaiting ||
-         jobs_.Find(record.job.id) != timer.job ||
+  return jobs_.at(timer.job).state != JobState::kWaiting ||
          queue_.EntryOf(timer.job) != timer.entry;
 }
 
 void Scheduler::State::TakeTimers(TimePoint now) {
   while (!timers_.empty()) {
-    const Timer& timer = timers_.top();
+    const Timer timer = timers_.top();
     const bool stale = IsStale(timer);
     if (!stale && timer.at > now) return;
-    if (!stale) freed_ = true;
     timers_.pop();
+    // Jobs behind the first of a bucket are tried when it is their turn.
+    if (!stale && queue_.IsFirst(timer.job, jobs_.at(timer.job))) {
+      freed_ = true;
+    }
   }
 }
 
@@ -227,7 +239,7 @@
     return;
   }
   Charge(index);
-  ++running_;
+  AddRunning(index);
 }
 
 void Scheduler::State::Release(const CallId& id, TimePoint now) {
@@ -241,8 +253,8 @@
   }
   Discharge(job);
   MarkReady(allocator_.Release(job));
+  RemoveRunning(job);
   jobs_.Erase(job);
-  --running_;
   NoteFreed();
 }
 
