Let the soak go on while an instance ends, and hold refusals to the note

Ruled out: the daemon alone; b1 was kept dead by the loop. Change: CanEnd is asked without waiting; promise note_in_force.

--- a/packages/standins/include/jasminespar/standins/promises.h
+++ b/packages/standins/include/jasminespar/standins/promises.h
@@ -27,9 +27,10 @@
   kAnswerRan,
   kWholeGang,
   kRevisionsRise,
+  kNoteInForce,
 };
 
-inline constexpr NameTable<Promise, 8> kPromiseNames{{
+inline constexpr NameTable<Promise, 9> kPromiseNames{{
     {Promise::kOneOutcome, "one_outcome", "Every call ended in an outcome."},
     {Promise::kOwnWholeAnswer, "own_whole_answer",
      "Every response was the caller's own whole answer or a true refusal."},
@@ -45,6 +46,8 @@
      "No part of an incomplete gang ran on past the workers' lease."},
     {Promise::kRevisionsRise, "revisions_rise",
      "No instance showed a lower revision than before."},
+    {Promise::kNoteInForce, "note_in_force",
+     "No call was refused for an account or service that the note added."},
 }};
 static_assert(IsDense(kPromiseNames));
 
--- a/packages/standins/include/jasminespar/standins/site_fault.h
+++ b/packages/standins/include/jasminespar/standins/site_fault.h
@@ -85,7 +85,10 @@
 /// Begins a fault.
 void BeginFault(const SiteFault& fault, Site& site);
 
-/// Ends a fault.
+/// @return false while an instance that was told to end still runs.
+[[nodiscard]] bool CanEnd(const SiteFault& fault, Site& site);
+
+/// Ends a fault; kills an instance that was told to end and still runs.
 void EndFault(const SiteFault& fault, Site& site);
 
 }  // namespace jasminespar::standins
--- a/packages/standins/programs/soak.cc
+++ b/packages/standins/programs/soak.cc
@@ -26,6 +26,7 @@
 constexpr Duration kPollInterval = 200ms;
 constexpr Duration kRevisionTimeout = 200ms;
 constexpr Duration kWorkerLease = 3s;
+constexpr Duration kShutdownTime = 40s;
 constexpr Duration kPartialBound = kWorkerLease + 5s;
 constexpr std::size_t kRecheckedCalls = 300;
 constexpr int kAccounts = 4;
@@ -181,13 +182,8 @@
     for (const TimedFault& fault : faults) begins.emplace(fault.at, &fault);
     while (!begins.empty() || !ends.empty() ||
            load.progress().ended < load.progress().planned) {
-      while (!ends.empty() && ends.begin()->first <= Elapsed()) {
-        Log("end   ", *ends.begin()->second);
-        EndFault(ends.begin()->second->fault, site_);
-        if (const auto index = EndedInstance(ends.begin()->second->fault)) {
-          down_.erase(*index);
-        }
-        ends.erase(ends.begin());
+      for (auto end = ends.begin(); end != ends.end();) {
+        end = TryEnd(*end->second, end->first) ? ends.erase(end) : ++end;
       }
       if (!begins.empty() && begins.begin()->first <= Elapsed()) {
         const TimedFault& fault = *begins.begin()->second;
@@ -206,6 +202,17 @@
     }
   }
 
+  /// @return whether the fault is over.
+  bool TryEnd(const TimedFault& fault, Duration due) {
+    if (Elapsed() < due) return false;
+    const bool overdue = Elapsed() >= due + kShutdownTime;
+    if (!overdue && !CanEnd(fault.fault, site_)) return false;
+    Log(overdue ? "forced " : "end   ", fault);
+    EndFault(fault.fault, site_);
+    if (const auto index = EndedInstance(fault.fault)) down_.erase(*index);
+    return true;
+  }
+
   /// Notes instances that ended although no fault ended them.
   void FindCrashes() {
     for (std::size_t i = 0; i < site_.plan().instances.size(); ++i) {
--- a/packages/standins/src/promises.cc
+++ b/packages/standins/src/promises.cc
@@ -51,6 +51,7 @@
 
   void Check() {
     CheckOutcome();
+    CheckNoteInForce();
     CheckNotRun();
     CheckAtMostOnce();
     CheckAnswerRan();
@@ -80,6 +81,14 @@
     if (record_.changed) Add(Promise::kStableOutcome, "outcome changed");
   }
 
+  // Loads use only what the first note added, and nothing withdraws it.
+  void CheckNoteInForce() {
+    if (record_.outcome == CallerOutcome::kRefused &&
+        record_.reason.starts_with("unknown_")) {
+      Add(Promise::kNoteInForce, record_.reason);
+    }
+  }
+
   void CheckNotRun() {
     const bool never_run = record_.outcome == CallerOutcome::kRefused &&
                            record_.not_run == record_.sends;
--- a/packages/standins/src/site_fault.cc
+++ b/packages/standins/src/site_fault.cc
@@ -17,7 +17,6 @@
 
 constexpr Duration kFirstFault = 3s;
 constexpr Duration kQuietEnd = 5s;
-constexpr Duration kShutdownTime = 40s;
 constexpr Duration kLag = 5s;
 constexpr Duration kNoteTimeout = 5s;
 constexpr int kGuaranteedWorkers = 1;
@@ -242,31 +241,34 @@
       fault);
 }
 
+bool CanEnd(const SiteFault& fault, Site& site) {
+  const auto* replaced = std::get_if<ReplacedInstance>(&fault);
+  return replaced == nullptr || !site.instance(replaced->index).running();
+}
+
 void EndFault(const SiteFault& fault, Site& site) {
   std::visit(
-      Overloaded{[&](const KilledInstance& f) { site.StartInstance(f.index); },
-                 [&](const PausedInstance& f) {
-                   site.instance(f.index).Signal(SIGCONT);
-                 },
-                 [&](const ReplacedInstance& f) {
-                   site.instance(f.index).WaitForEnd(kShutdownTime);
-                   site.StartInstance(f.index);
-                 },
-                 [&](const FaultyStore&) {
-                   site.SetStoreFault({{"mode", "ok"}});
-                 },
-                 [&](const LaggingList&) { site.SetListLag({}); },
-                 [&](const FaultyWorker& f) {
-                   site.SetWorkerFault(f.worker, json::object());
-                 },
-                 [](const RestartedWorker&) {},
-                 [&](const CutLink& f) {
-                   site.SetLinkFault(f.prefix, json::object());
-                 },
-                 [&](const NoisyLink& f) {
-                   site.SetLinkFault(f.prefix, json::object());
-                 },
-                 [](const RacingNotes&) {}},
+      Overloaded{
+          [&](const KilledInstance& f) { site.StartInstance(f.index); },
+          [&](const PausedInstance& f) {
+            site.instance(f.index).Signal(SIGCONT);
+          },
+          [&](const ReplacedInstance& f) { site.StartInstance(f.index); },
+          [&](const FaultyStore&) {
+            site.SetStoreFault({{"mode", "ok"}});
+          },
+          [&](const LaggingList&) { site.SetListLag({}); },
+          [&](const FaultyWorker& f) {
+            site.SetWorkerFault(f.worker, json::object());
+          },
+          [](const RestartedWorker&) {},
+          [&](const CutLink& f) {
+            site.SetLinkFault(f.prefix, json::object());
+          },
+          [&](const NoisyLink& f) {
+            site.SetLinkFault(f.prefix, json::object());
+          },
+          [](const RacingNotes&) {}},
       fault);
 }
 
--- a/tests/standins/promises_test.cc
+++ b/tests/standins/promises_test.cc
@@ -89,6 +89,13 @@
   CHECK(f.Breaches(Promise::kOwnWholeAnswer));
 }
 
+TEST_CASE("a refusal that denies the accepted note is a breach") {
+  Fixture f;
+  f.record.outcome = CallerOutcome::kRefused;
+  f.record.reason = "unknown_service";
+  CHECK(f.Breaches(Promise::kNoteInForce));
+}
+
 TEST_CASE("the same seed plans the same calls, by arrival") {
   const MixSettings settings;
   const auto first = PlanMix(settings);
