--- a/packages/daemon/include/jasminespar/daemon/peer_link.h
+++ b/packages/daemon/include/jasminespar/daemon/peer_link.h
@@ -21,6 +21,7 @@
 #include "jasminespar/daemon/peer_connection.h"
 #include "jasminespar/membership/member_table.h"
 #include "jasminespar/membership/ownership.h"
+#include "jasminespar/membership/provisional.h"
 #include "jasminespar/runtime/channel.h"
 #include "jasminespar/runtime/duty.h"
 #include "jasminespar/telemetry/metrics.h"
@@ -41,6 +42,7 @@
   runtime::Channel<ToFront>& front;
   runtime::Channel<ToDecider>& decider;
   runtime::Channel<ToPlatform>& platform;
+  runtime::Channel<ToEndpoint>& endpoint;
 };
 
 /// Runs on its duty's thread only, `held_cells` excepted.
@@ -74,10 +76,12 @@
   void On(PeerNotesFound message);
   void On(const CellsChanged& message);
   void On(const ConfigurationChanged& message);
+  void On(const LeaseAnswered& message);
   void On(const LeaveSite& message);
 
   void OnPeerMessage(std::uint64_t connection, protocol::PeerMessage message);
   void OnForwardedCall(std::uint64_t connection, protocol::ForwardedCall call);
+  void SendWorkers(std::uint64_t connection);
   void OnClosed(std::uint64_t connection);
   [[nodiscard]] Outbound* OutboundTo(const InstanceId& instance);
   void FailAwaiting(Outbound& outbound);
@@ -88,12 +92,16 @@
   void OnHeartbeat(const membership::Heartbeat& heartbeat);
   void Beat();
   void ArmBeat();
-  void PullNotes(const membership::Heartbeat& heartbeat);
+  void PullFrom(const membership::Heartbeat& heartbeat);
 
   void MarkViewDirty();
   void PublishView();
   void PlanOwnership();
   void Perform(const std::vector<membership::OwnershipAction>& actions);
+  void PlanProvisional(const membership::View& view, TimePoint now);
+  void Perform(const std::vector<membership::ProvisionalAction>& actions);
+  [[nodiscard]] configuration::CellTopology TopologyOf(
+      const CellId& cell) const;
   void Drop(const CellId& cell, Epoch epoch, Reason reason);
   [[nodiscard]] ConnectionPtr MakeConnection();
 
@@ -103,6 +111,8 @@
   telemetry::Metrics& metrics_;
   membership::MemberTable members_;
   membership::OwnershipPlanner planner_;
+  membership::ProvisionalPlanner provisional_;
+  Cells cells_;  // Null until the workers are known.
   std::vector<CellId> cell_ids_;
   std::vector<membership::OwnedCell> owned_;
   std::map<CellId, Epoch> releasing_;  // Rows being given back.
@@ -111,6 +121,7 @@
   bool leaving_ = false;
   bool view_dirty_ = false;
   TimePoint last_pull_;
+  std::uint32_t owners_told_ = 0;
   std::atomic<std::size_t> held_{0};
 
   std::uint64_t last_connection_ = 0;
