--- a/packages/membership/src/ownership.cc
+++ b/packages/membership/src/ownership.cc
@@ -23,12 +23,15 @@
   const Candidates candidates(view);
   const Member* self = view.FindMember(self_);
   told_to_leave_ = self != nullptr && self->state == MemberState::kLeaving;
+  // Held cells come from the planner's own record: the list may omit one.
+  std::set<CellId> held;
+  for (const auto& [cell, epoch] : held_) held.insert(cell);
+  for (const CellId& cell : held) {
+    PlanHeld(view, candidates, cell, now, actions);
+  }
   for (const CellId& cell : cells) {
-    if (held_.contains(cell)) {
-      PlanHeld(view, candidates, cell, now, actions);
-    } else {
-      PlanOther(view, candidates, cell, now, actions);
-    }
+    if (held.contains(cell)) continue;
+    PlanOther(view, candidates, cell, now, actions);
   }
   return actions;
 }
--- a/tests/membership/ownership_test.cc
+++ b/tests/membership/ownership_test.cc
@@ -212,6 +212,18 @@
   CHECK(fixture.Plan(1min).empty());
 }
 
+TEST_CASE("A held cell that the list no longer names is still handed over") {
+  Fixture fixture(0);
+  fixture.Win();
+  fixture.planner->BeginLeave();
+  const TimePoint now = kStart + 3s;
+  const auto yielded = fixture.planner->Plan(fixture.view, {}, now);
+  REQUIRE(yielded.size() == 1);
+  CHECK(std::holds_alternative<YieldCell>(yielded[0]));
+  fixture.planner->HandoverFinished(kCell, now);
+  CHECK(fixture.planner->Plan(fixture.view, {}, now).size() == 1);
+}
+
 TEST_CASE("A higher epoch in a heartbeat drops the cell") {
   Fixture fixture(0);
   fixture.Win();
