--- a/packages/scheduling/src/admission.cc
+++ b/packages/scheduling/src/admission.cc
@@ -21,14 +21,17 @@
 
 std::uint8_t Scheduler::State::LevelOf(const Job& job,
                                        Duration attained) const {
-  const auto* policy = std::get_if<LeastAttainedService>(&settings_.queue);
-  if (policy == nullptr) return 0;
-  Duration service = attained;
-  if (policy->learn_run_times) {
-    const auto typical = run_times_.Typical(job.service, job.gang.accelerators);
-    service = std::max(service, typical.value_or(Duration{}));
-  }
-  return LevelOfService(*policy, service * job.gang.accelerators);
+  const auto in_levels = [&](const LeastAttainedService& policy) {
+    Duration service = attained;
+    if (policy.learn_run_times) {
+      const auto typical =
+          run_times_.Typical(job.service, job.gang.accelerators);
+      service = std::max(service, typical.value_or(Duration{}));
+    }
+    return LevelOfService(policy, service * job.gang.accelerators);
+  };
+  const auto in_one_line = [](const auto&) { return std::uint8_t{0}; };
+  return std::visit(Overloaded{in_levels, in_one_line}, settings_.queue);
 }
 
 Duration Scheduler::State::DrainTime(const JobRecord& record,
@@ -39,17 +42,16 @@
                     kMaxRetryAfter);
 }
 
-std::optional<Refusal> Scheduler::State::RefuseDeadline(const JobRecord& record,
-                                                        TimePoint now) const {
-  const auto* policy = std::get_if<RefuseUnreachable>(&settings_.admission);
-  if (policy == nullptr) return std::nullopt;
+std::optional<Refusal> Scheduler::State::RefuseDeadline(
+    const RefuseUnreachable& policy, const JobRecord& record,
+    TimePoint now) const {
   const auto gang = static_cast<std::uint32_t>(record.job.gang.accelerators);
   if (allocator_.tree().free() >= gang) return std::nullopt;
   if (HasGuaranteeRoom(record.account, record.job.gang)) {
     return std::nullopt;
   }
   const auto wait = drain_.ExpectedWait(queue_.demand(), record.job.priority,
-                                        record.level, policy->min_starts, now);
+                                        record.level, policy.min_starts, now);
   if (!wait || now + *wait < record.job.deadline) return std::nullopt;
   const Duration over = now + *wait - record.job.deadline;
   return NotRun(Reason::kDeadlineUnreachable,
@@ -78,7 +80,14 @@
       accounts_[record.account].max_waiting) {
     return NotRun(Reason::kAccountQueueFull, DrainTime(record, now));
   }
-  return RefuseDeadline(record, now);
+  return std::visit(
+      Overloaded{
+          [](const AdmitUntilFull&) { return std::optional<Refusal>{}; },
+          [&](const RefuseUnreachable& policy) {
+            return RefuseDeadline(policy, record, now);
+          },
+      },
+      settings_.admission);
 }
 
 LoadSummary Scheduler::State::Summary(TimePoint now) const {
--- a/packages/scheduling/src/scheduler_state.cc
+++ b/packages/scheduling/src/scheduler_state.cc
@@ -31,8 +31,13 @@
 }
 
 Duration PatienceOf(const QueuePolicy& policy) {
-  const auto* attained = std::get_if<LeastAttainedService>(&policy);
-  return attained == nullptr ? Duration{} : attained->reclaim_patience;
+  return std::visit(Overloaded{
+                        [](const LeastAttainedService& attained) {
+                          return attained.reclaim_patience;
+                        },
+                        [](const auto&) { return Duration{}; },
+                    },
+                    policy);
 }
 
 }  // namespace
@@ -108,15 +113,23 @@
 }
 
 void Scheduler::State::SetTimers(JobIndex job) {
-  const auto* policy = std::get_if<LeastAttainedService>(&settings_.queue);
-  if (policy == nullptr) return;
+  std::visit(
+      Overloaded{
+          [&](const LeastAttainedService& policy) { SetTimers(policy, job); },
+          [](const auto&) {},
+      },
+      settings_.queue);
+}
+
+void Scheduler::State::SetTimers(const LeastAttainedService& policy,
+                                 JobIndex job) {
   const JobRecord& record = jobs_.at(job);
   const std::uint64_t entry = queue_.EntryOf(job);
   const auto set = [&](Duration wait) {
     timers_.push({record.job.arrival + wait, job, entry});
   };
   set(settings_.reservation_wait);
-  if (policy->give_way_wait > Duration{}) set(policy->give_way_wait);
+  if (policy.give_way_wait > Duration{}) set(policy.give_way_wait);
   if (IsPatient(record) && accounts_[record.account].has_guarantee) {
     set(reclaim_patience_);
   }
--- a/packages/scheduling/src/scheduler_state.h
+++ b/packages/scheduling/src/scheduler_state.h
@@ -96,8 +96,9 @@
   // admission.cc
   [[nodiscard]] std::optional<Refusal> Refuse(const JobRecord& record,
                                               TimePoint now) const;
-  [[nodiscard]] std::optional<Refusal> RefuseDeadline(const JobRecord& record,
-                                                      TimePoint now) const;
+  [[nodiscard]] std::optional<Refusal> RefuseDeadline(
+      const RefuseUnreachable& policy, const JobRecord& record,
+      TimePoint now) const;
   [[nodiscard]] Duration DrainTime(const JobRecord& record,
                                    TimePoint now) const;
   [[nodiscard]] std::uint8_t LevelOf(const Job& job, Duration attained) const;
@@ -134,6 +135,7 @@
   void AddRunning(JobIndex job);
   void RemoveRunning(JobIndex job);
   void SetTimers(JobIndex job);
+  void SetTimers(const LeastAttainedService& policy, JobIndex job);
   void TakeTimers(TimePoint now);
   [[nodiscard]] bool IsStale(const Timer& timer) const;
   [[nodiscard]] bool IsPatient(const JobRecord& record) const;
