--- a/packages/daemon/src/caller_front.cc
+++ b/packages/daemon/src/caller_front.cc
@@ -24,6 +24,7 @@
 /// The cell answers by the deadline; this is for the way back.
 constexpr Duration kReplySlack = 500ms;
 constexpr Duration kStatusTimeout = 5s;
+constexpr Duration kUnknownConfigurationRetry = 500ms;
 constexpr Duration kNoteTimeout = 15s;
 constexpr int kOk = 200;
 constexpr int kMethodNotAllowed = 405;
@@ -209,6 +210,9 @@
                     ready ? "ready\n" : "not ready\n", "text/plain");
   }
   const TimePoint now = runtime::SteadyNow();
+  if (path == "/v1/configuration" && !configuration_known_) {
+    return front::ToProblem(RefuseFor(Reason::kRecovering, Verdict::kNotRun));
+  }
   if (path == "/v1/configuration") {
     return MakeText(kOk, codec::EncodeConfiguration(*configuration_),
                     "application/json");
@@ -256,6 +260,12 @@
 
 asio::awaitable<Response> CallerFront::ServeSubmit(http::Request request,
                                                    ServiceId service) {
+  if (!configuration_known_) {
+    Refusal refusal = RefuseFor(Reason::kRecovering, Verdict::kNotRun);
+    refusal.retry_after = kUnknownConfigurationRetry;
+    refusal.detail = "no configuration is known yet";
+    co_return Refuse(refusal);
+  }
   auto parsed =
       front::ParseCallRequest(std::move(request), service, *configuration_);
   if (const auto* refusal = std::get_if<Refusal>(&parsed)) {
@@ -320,11 +330,41 @@
       co_return reply;
     }
     metrics_.CountRetry(refusal->reason);
+    UseLocalCell(*errand);
     co_await Sleep(context_, pause);
     backoff = std::min(2 * backoff, kLongestBackoff);
   }
 }
 
+// A data centre that is cut off serves idempotent calls on its own workers;
+// the home cell may run the call too, which idempotence allows.
+void CallerFront::UseLocalCell(Errand& errand) const {
+  const auto* submit = std::get_if<protocol::SubmitOp>(&errand.op);
+  if (submit == nullptr ||
+      submit->request.idempotence != Idempotence::kIdempotent ||
+      submit->request.delivery != Delivery::kWait ||
+      configuration::DataCentreOf(errand.cell) == view_->data_centre) {
+    return;
+  }
+  const membership::CellOwner* owner = view_->FindCell(errand.cell);
+  const membership::Member* member =
+      owner == nullptr ? nullptr : view_->FindMember(owner->owner);
+  if (member != nullptr && member->state == membership::MemberState::kLive) {
+    return;
+  }
+  const auto service =
+      configuration_->services.find(submit->request.key.service);
+  if (service == configuration_->services.end()) return;
+  std::vector<membership::WeightedCell> local = AllowedCells(&service->second);
+  std::erase_if(local, [this](const membership::WeightedCell& cell) {
+    return configuration::DataCentreOf(cell.cell) != view_->data_centre;
+  });
+  const auto cell = membership::HomeCell(submit->request.id, local);
+  if (!cell) return;
+  errand.cell = *cell;
+  metrics_.Count(telemetry::Counter::kCallsSpilled);
+}
+
 asio::awaitable<cell::CallReply> CallerFront::Ask(
     std::shared_ptr<Errand> errand) {
   const membership::RouteDecision decision =
--- a/packages/daemon/src/cell_decider.cc
+++ b/packages/daemon/src/cell_decider.cc
@@ -83,9 +83,17 @@
   configuration::CellTopology topology = TopologyOf(message.cell);
   cell::Cell cell(settings_, message.epoch, topology, ShareOf(message.cell),
                   std::move(message.recovered), PresentTime());
-  cells_.erase(message.cell);
+  if (const auto held = cells_.find(message.cell); held != cells_.end()) {
+    // A durable claim follows a provisional one: whoever waits asks again.
+    const Epoch replaced = held->second.cell.epoch();
+    if (message.epoch <= replaced) return;
+    On(CellLost{message.cell, replaced, Reason::kStaleEpoch});
+  }
   cells_.emplace(message.cell, OwnedCell{std::move(cell), {}, false, false});
   outputs_.endpoint.Send(CellTaken{message.epoch, std::move(topology)});
+  if (!store_available_) {
+    Feed(message.cell, cells_.at(message.cell), cell::StoreChanged{false});
+  }
   telemetry::LogEvent(telemetry::Event::kRecoveryStarted,
                       {{"cell", message.cell.value},
                        {"epoch", std::to_string(message.epoch.durable)}});
@@ -131,6 +139,13 @@
                                        found->second.cell.SnapshotRecords()});
 }
 
+void CellDecider::On(const StoreReached& message) {
+  store_available_ = message.available;
+  for (auto& [id, owned] : cells_) {
+    Feed(id, owned, cell::StoreChanged{store_available_});
+  }
+}
+
 void CellDecider::On(const CellsChanged& message) {
   topology_ = message.cells;
   for (auto& [id, owned] : cells_) {
