--- /dev/null
+++ b/tests/site_cut/data_centre_cut_test.cc
@@ -0,0 +1,80 @@
+#include <csignal>
+
+#include "site/running_site.h"
+
+namespace jasminespar::standins {
+namespace {
+
+/// Instances 0 and 1 of a small site stand in its first data centre.
+constexpr std::size_t kPerDataCentre = 2;
+
+/// From the first data centre it looks as if every link out of it were cut:
+/// the platform's links are, and the other data centre's instances stand still.
+void CutOff(RunningSite& running) {
+  running.site.SetLinkFault("platform/dc-a/",
+                            {{"cut_to_target", true}, {"cut_to_source", true}});
+  for (std::size_t i = kPerDataCentre; i < running.site.plan().instances.size();
+       ++i) {
+    running.site.instance(i).Signal(SIGSTOP);
+  }
+}
+
+void Heal(RunningSite& running) {
+  running.site.SetLinkFault("platform/", nlohmann::json::object());
+  for (std::size_t i = kPerDataCentre; i < running.site.plan().instances.size();
+       ++i) {
+    running.site.instance(i).Signal(SIGCONT);
+  }
+}
+
+LoadSettings LocalLoad(const RunningSite& running) {
+  LoadSettings settings = running.MakeLoadSettings();
+  settings.caller_ports.resize(kPerDataCentre);
+  return settings;
+}
+
+void CheckAnswered(const std::vector<CallRecord>& records) {
+  for (const CallRecord& record : records) {
+    INFO(record.plan.key.idempotency_key << " " << record.reason);
+    CHECK(record.outcome == CallerOutcome::kAnswered);
+  }
+}
+
+std::vector<PlannedCall> IdempotentMix(std::uint64_t seed) {
+  MixSettings mix = SmallMix(seed, 60, 4s);
+  mix.non_idempotent_share = 0;
+  return PlanMix(mix);
+}
+
+TEST_CASE("a data centre that is cut off serves idempotent calls") {
+  RunningSite running;
+  CutOff(running);
+  Load load(LocalLoad(running), IdempotentMix(21));
+  load.Start();
+  const std::vector<CallRecord> records = load.Finish(0);
+  Heal(running);
+  CheckAnswered(records);
+  running.CheckPromisesOf(records);
+}
+
+TEST_CASE("a cut-off data centre serves on when the owner of its cell dies") {
+  RunningSite running;
+  CutOff(running);
+  Load load(LocalLoad(running), IdempotentMix(22));
+  load.Start();
+  std::this_thread::sleep_for(1s);
+  // One of the two owns the cell; killing both in turn kills the owner.
+  for (std::size_t i = 0; i < kPerDataCentre; ++i) {
+    running.site.KillInstance(i);
+    std::this_thread::sleep_for(500ms);
+    running.site.StartInstance(i);
+    REQUIRE(running.site.WaitUntilReady(i, kReadyTimeout));
+  }
+  const std::vector<CallRecord> records = load.Finish(0);
+  Heal(running);
+  CheckAnswered(records);
+  running.CheckPromisesOf(records);
+}
+
+}  // namespace
+}  // namespace jasminespar::standins
