--- a/packages/cell/src/gang_control.cc
+++ b/packages/cell/src/gang_control.cc
@@ -196,11 +196,12 @@
   WordEffect effect = WordEffect::kStale;
   if (Call* call = context.calls.Find(word.task.call)) {
     if (call->run) {
-      effect = call->run->Take(word, context.epoch, now, context.effects);
+      effect = call->run->Take(word, WordSource::kTask, context.epoch, now,
+                               context.effects);
     }
     if (effect == WordEffect::kTaken) Settle(context, *call);
   } else {
-    effect = TakeOrphanWord(context, word);
+    effect = TakeOrphanWord(context, word, WordSource::kTask);
   }
   if (effect == WordEffect::kStale) {
     context.effects.emplace_back(CountStale{word.task});
@@ -215,6 +216,8 @@
     effect =
         call->run->TakeFailure(failure, context.now.steady, context.effects);
     if (effect == WordEffect::kTaken) Settle(context, *call);
+  } else if (call == nullptr) {
+    effect = TakeOrphanFailure(context, failure);
   }
   if (effect == WordEffect::kStale) {
     context.effects.emplace_back(CountStale{failure.task});
@@ -228,6 +231,9 @@
 }
 
 void TakeReport(Context& context, const WorkerReported& report) {
+  const ReportOrder order = context.workers.HasReported(report.worker)
+                                ? ReportOrder::kLater
+                                : ReportOrder::kFirst;
   context.workers.MarkReported(report.worker, report.leaving);
   // Parts that are missing give their accelerators back before others that
   // the worker does have are looked at.
@@ -241,7 +247,7 @@
     }
   }
   for (const ReportedTask& task : report.tasks) {
-    if (task.cell == context.cell) TakeReportedTask(context, task);
+    if (task.cell == context.cell) TakeReportedTask(context, task, order);
   }
 }
 
--- a/packages/cell/src/gang_run.cc
+++ b/packages/cell/src/gang_run.cc
@@ -13,6 +13,7 @@
 constexpr std::uint32_t kMaxBackoffSteps = 5;
 constexpr Duration kOrderTimeout = 10s;
 constexpr Duration kCheckpointTime = 10s;
+constexpr Duration kAnswerTimeout = 30s;
 /// Fraction of a hold that is left for the release to travel.
 constexpr int kHoldMarginDivisor = 4;
 
@@ -87,8 +88,8 @@
   }
 }
 
-WordEffect GangRun::Take(const TaskChanged& word, Epoch current, TimePoint now,
-                         EffectList& effects) {
+WordEffect GangRun::Take(const TaskChanged& word, WordSource source,
+                         Epoch current, TimePoint now, EffectList& effects) {
   GangPart* part = Find(word.task.worker);
   if (part == nullptr || word.task.attempt != attempt_) {
     return WordEffect::kStale;
@@ -97,23 +98,34 @@
       !part->epoch || word.epoch == *part->epoch || word.epoch == current;
   if (!epoch_matches) return WordEffect::kStale;
 
-  const bool is_answer = word.answer && word.state == TaskState::kSucceeded &&
-                         part == &parts_.front() && !answer_;
-  if (is_answer) answer_ = word.answer;
+  const bool is_news = TakeAnswer(*part, word, source);
   const bool moves =
       !HasEnded(*part) &&
       (!part->known || Progress(word.state) > Progress(*part->known));
-  if (!moves) return is_answer ? WordEffect::kTaken : WordEffect::kStale;
+  if (!moves && !is_news) return WordEffect::kStale;
+  if (moves) TakeState(*part, word.state);
+  Advance(now, effects);
+  return WordEffect::kTaken;
+}
+
+bool GangRun::TakeAnswer(const GangPart& part, const TaskChanged& word,
+                         WordSource source) {
+  const bool wanted = &part == &parts_.front() && !answer_ && !answer_lost_ &&
+                      word.state == TaskState::kSucceeded;
+  if (!wanted || (!word.answer && source == WordSource::kReport)) return false;
+  answer_ = word.answer;
+  answer_lost_ = !word.answer;
+  return true;
+}
 
-  part->known = word.state;
+void GangRun::TakeState(GangPart& part, TaskState state) {
+  part.known = state;
   // A part that runs was released, whoever did it.
-  if (HasStarted(word.state)) part->released = true;
-  if (phase_ != GangPhase::kStopping || HasEnded(*part)) {
-    part->sends = 0;
-    part->resend_at.reset();
+  if (HasStarted(state)) part.released = true;
+  if (phase_ != GangPhase::kStopping || HasEnded(part)) {
+    part.sends = 0;
+    part.resend_at.reset();
   }
-  Advance(now, effects);
-  return WordEffect::kTaken;
 }
 
 WordEffect GangRun::TakeFailure(const TaskOrderFailed& failure, TimePoint now,
@@ -212,9 +224,7 @@
 }
 
 void GangRun::Advance(TimePoint now, EffectList& effects) {
-  if (AwaitsAnswer() && !parts_.front().resend_at) {
-    parts_.front().resend_at = now + Backoff(parts_.front().sends);
-  }
+  if (AwaitsAnswer() && !give_up_at_) give_up_at_ = now + kAnswerTimeout;
   if (phase_ == GangPhase::kStopping) return;
   if (const std::optional<Reason> breakage = Breakage()) {
     Stop(StopMode::kStop, *breakage, now, effects);
@@ -284,7 +294,9 @@
     const bool unanswered = std::any_of(
         parts_.begin(), parts_.end(),
         [](const GangPart& part) { return !part.known && !HasEnded(part); });
-    if (phase_ == GangPhase::kPreparing) {
+    if (AwaitsAnswer()) {
+      answer_lost_ = true;
+    } else if (phase_ == GangPhase::kPreparing) {
       Stop(StopMode::kAbort, Reason::kHoldLapsed, now, effects);
     } else if (unanswered) {
       Stop(StopMode::kStop, Reason::kWorkerUnreachable, now, effects);
@@ -297,15 +309,8 @@
 
 void GangRun::Repeat(GangPart& part, TimePoint now, EffectList& effects) {
   part.resend_at.reset();
-  if (HasEnded(part)) {
-    // A stop of an ended task only makes the worker repeat its last word,
-    // which brings the answer.
-    if (&part == &parts_.front() && AwaitsAnswer()) {
-      part.resend_at = now + Backoff(part.sends);
-      ++part.sends;
-      effects.emplace_back(StopTask{RefOf(part), StopMode::kStop});
-    }
-  } else if (phase_ == GangPhase::kStopping) {
+  if (HasEnded(part)) return;
+  if (phase_ == GangPhase::kStopping) {
     SendStop(part, now, effects);
   } else if (phase_ == GangPhase::kReleased) {
     Release(part, now, effects);
--- a/packages/cell/src/gang_run.h
+++ b/packages/cell/src/gang_run.h
@@ -26,6 +26,9 @@
 }};
 static_assert(IsDense(kGangPhaseNames));
 
+/// Where a word comes from; a report lists states only.
+enum class WordSource : std::uint8_t { kTask, kReport };
+
 /// What a message did to a run.
 enum class WordEffect : std::uint8_t { kStale, kTaken };
 
@@ -68,10 +71,11 @@
   void Order(const CallRequest& request, const OrderTerms& terms, TimePoint now,
              EffectList& effects);
 
-  /// Takes a worker's word.
-  /// @param epoch of the order, or of the request that the word answers.
-  WordEffect Take(const TaskChanged& word, Epoch current, TimePoint now,
-                  EffectList& effects);
+  /// Takes a worker's word. Its epoch is that of the order, or of the request
+  /// that the word answers. A success of rank 0 without an answer means that
+  /// the answer is lost, unless it is only listed in a report.
+  WordEffect Take(const TaskChanged& word, WordSource source, Epoch current,
+                  TimePoint now, EffectList& effects);
   WordEffect TakeFailure(const TaskOrderFailed& failure, TimePoint now,
                          EffectList& effects);
 
@@ -115,6 +119,9 @@
 
  private:
   GangPart* Find(WorkerId worker);
+  bool TakeAnswer(const GangPart& part, const TaskChanged& word,
+                  WordSource source);
+  void TakeState(GangPart& part, TaskState state);
   void AdvancePreparing(TimePoint now, EffectList& effects);
   void Release(GangPart& part, TimePoint now, EffectList& effects);
   void SendStop(GangPart& part, TimePoint now, EffectList& effects);
@@ -134,7 +141,8 @@
   StopMode stop_mode_ = StopMode::kAbort;
   Reason reason_ = Reason::kWorkerLost;
   TimePoint stop_began_;
-  std::optional<TimePoint> give_up_at_;  ///< End of preparing, or of ordering.
+  /// End of waiting to be held, for the first word, or for the answer.
+  std::optional<TimePoint> give_up_at_;
   Mutation mutation_ = Mutation::kNone;
 };
 
--- a/packages/cell/src/orphans.cc
+++ b/packages/cell/src/orphans.cc
@@ -70,6 +70,14 @@
   context.orphans.erase(id);
 }
 
+/// @return whether the attempt is known to have ended, so that a report which
+/// lists it is older than that.
+bool HasEndedHere(const Context& context, const ReportedTask& task) {
+  const auto earlier = context.earlier_attempts.find(task.task.call);
+  return earlier != context.earlier_attempts.end() &&
+         task.task.attempt <= earlier->second;
+}
+
 /// A success is kept for its caller; any other end is dropped at once.
 void SettleOrphan(Context& context, const CallId& id, OrphanRun& orphan) {
   if (!orphan.run.ended()) {
@@ -159,11 +167,12 @@
   }
 }
 
-WordEffect TakeOrphanWord(Context& context, const TaskChanged& word) {
+WordEffect TakeOrphanWord(Context& context, const TaskChanged& word,
+                          WordSource source) {
   const auto found = context.orphans.find(word.task.call);
   if (found == context.orphans.end()) return WordEffect::kStale;
   const WordEffect effect = found->second.run.Take(
-      word, context.epoch, context.now.steady, context.effects);
+      word, source, context.epoch, context.now.steady, context.effects);
   SettleOrphan(context, word.task.call, found->second);
   return effect;
 }
@@ -185,7 +194,17 @@
   SettleOrphan(context, id, found->second);
 }
 
-void TakeReportedTask(Context& context, const ReportedTask& task) {
+WordEffect TakeOrphanFailure(Context& context, const TaskOrderFailed& failure) {
+  const auto found = context.orphans.find(failure.task.call);
+  if (found == context.orphans.end()) return WordEffect::kStale;
+  const WordEffect effect = found->second.run.TakeFailure(
+      failure, context.now.steady, context.effects);
+  SettleOrphan(context, failure.task.call, found->second);
+  return effect;
+}
+
+void TakeReportedTask(Context& context, const ReportedTask& task,
+                      ReportOrder order) {
   const TaskChanged word{task.task, task.epoch, task.state, std::nullopt};
   if (context.strays.Contains(task.task)) {
     TakeWord(context, word);
@@ -199,10 +218,11 @@
   if (run != nullptr && run->Contains(task.task)) {
     // A report repeats what is known; only its news are taken.
     if (call != nullptr) {
-      call->run->Take(word, context.epoch, context.now.steady, context.effects);
+      call->run->Take(word, WordSource::kReport, context.epoch,
+                      context.now.steady, context.effects);
       Settle(context, *call);
     } else {
-      TakeOrphanWord(context, word);
+      TakeOrphanWord(context, word, WordSource::kReport);
     }
     return;
   }
@@ -210,7 +230,9 @@
       call != nullptr &&
       std::count(call->results.begin(), call->results.end(), task.task) != 0;
   if (kept) return;
-  if (call == nullptr && run == nullptr && KeepOrphan(context, {task})) return;
+  const bool may_be_orphan = order == ReportOrder::kFirst && call == nullptr &&
+                             run == nullptr && !HasEndedHere(context, task);
+  if (may_be_orphan && KeepOrphan(context, {task})) return;
   if (call == nullptr) {
     NoteEarlierAttempt(context, task.task.call, task.task.attempt);
   }
--- a/packages/cell/src/orphans.h
+++ b/packages/cell/src/orphans.h
@@ -5,6 +5,7 @@
 #ifndef JASMINESPAR_CELL_ORPHANS_H_
 #define JASMINESPAR_CELL_ORPHANS_H_
 
+#include <cstdint>
 #include <vector>
 
 #include "context.h"
@@ -26,14 +27,23 @@
 /// Performs what is due of an orphan, or ends its grace.
 void WakeOrphan(Context& context, const CallId& id);
 
-WordEffect TakeOrphanWord(Context& context, const TaskChanged& word);
+WordEffect TakeOrphanWord(Context& context, const TaskChanged& word,
+                          WordSource source);
 void MissOrphanPart(Context& context, const CallId& id,
                     const WorkerReported& report);
 void LoseOrphanWorker(Context& context, const CallId& id, WorkerId worker);
 
+WordEffect TakeOrphanFailure(Context& context, const TaskOrderFailed& failure);
+
+/// Whether a report is the first of its worker since that had lapsed or was
+/// listed. Only that one can show runs of an earlier owner; what a later one
+/// shows has been given up here.
+enum class ReportOrder : std::uint8_t { kFirst, kLater };
+
 /// Takes one task of a report made after recovery: it belongs to a run here,
 /// becomes an orphan, or is stopped.
-void TakeReportedTask(Context& context, const ReportedTask& task);
+void TakeReportedTask(Context& context, const ReportedTask& task,
+                      ReportOrder order);
 
 /// Stops a task that belongs to no run, or has it forgotten if it has ended.
 void Discard(Context& context, const ReportedTask& task);
--- a/packages/cell/src/worker_table.cc
+++ b/packages/cell/src/worker_table.cc
@@ -26,21 +26,17 @@
 void WorkerTable::ApplyTopology(configuration::CellTopology topology,
                                 TimePoint now) {
   cell_ = std::move(topology.id);
-  std::map<WorkerId, Entry> entries;
+  for (auto& [id, entry] : entries_) {
+    if (std::exchange(entry.listed, false)) entry.unlisted_since = now;
+  }
   order_.clear();
   for (configuration::Worker& worker : topology.workers) {
-    const WorkerId id = worker.id;
-    Entry entry;
-    if (const Entry* known = Find(id)) entry = *known;
+    Entry& entry = entries_[worker.id];
+    order_.push_back(worker.id);
     entry.worker = std::move(worker);
-    entries.emplace(id, std::move(entry));
-    order_.push_back(id);
-    unlisted_.erase(id);
-  }
-  for (const auto& [id, masks] : occupied_) {
-    if (!entries.contains(id)) unlisted_.emplace(id, now);
+    entry.listed = true;
+    entry.unlisted_since.reset();
   }
-  entries_ = std::move(entries);
   changed_ = true;
 }
 
@@ -105,25 +101,27 @@
 
 std::vector<WorkerId> WorkerTable::TakeLapsed(TimePoint now) {
   std::vector<WorkerId> lapsed;
-  for (const auto& [id, since] : unlisted_) {
-    if (now - since >= lease_) lapsed.push_back(id);
+  for (const auto& [id, entry] : entries_) {
+    const auto since = entry.unlisted_since;
+    if (since && now - *since >= lease_) lapsed.push_back(id);
   }
-  for (const WorkerId id : lapsed) unlisted_.erase(id);
+  for (const WorkerId id : lapsed) entries_.erase(id);
   return lapsed;
 }
 
 std::optional<TimePoint> WorkerTable::next_wake() const {
   std::optional<TimePoint> next;
-  for (const auto& [id, since] : unlisted_)
-    next = Earlier(next, since + lease_);
   for (const auto& [id, entry] : entries_) {
     next = Earlier(next, entry.suspended_until);
+    if (!entry.unlisted_since) continue;
+    next = Earlier(next, *entry.unlisted_since + lease_);
   }
   return next;
 }
 
 bool WorkerTable::IsListed(WorkerId worker) const {
-  return entries_.contains(worker);
+  const auto found = entries_.find(worker);
+  return found != entries_.end() && found->second.listed;
 }
 
 bool WorkerTable::HasReported(WorkerId worker) const {
@@ -152,9 +150,7 @@
     const auto worker = occupied_.find(part.worker);
     Require(worker != occupied_.end() && worker->second.erase(call) == 1,
             "only occupied accelerators are given back");
-    if (!worker->second.empty()) continue;
-    occupied_.erase(worker);
-    unlisted_.erase(part.worker);
+    if (worker->second.empty()) occupied_.erase(worker);
   }
 }
 
--- a/packages/cell/src/worker_table.h
+++ b/packages/cell/src/worker_table.h
@@ -58,6 +58,8 @@
  private:
   struct Entry {
     configuration::Worker worker;
+    bool listed = false;  ///< One that is listed again needs no new report.
+    std::optional<TimePoint> unlisted_since;
     bool reported = false;
     bool leaving = false;
     bool strays = false;
@@ -71,7 +73,6 @@
   Duration lease_;
   std::map<WorkerId, Entry> entries_;
   std::vector<WorkerId> order_;  ///< As listed.
-  std::map<WorkerId, TimePoint> unlisted_;
   std::map<WorkerId, Masks> occupied_;
   bool changed_ = true;
 };
