--- a/packages/daemon/include/jasminespar/daemon/duty_messages.h
+++ b/packages/daemon/include/jasminespar/daemon/duty_messages.h
@@ -5,9 +5,9 @@
 ///
 ///     caller_front  -> cell_decider, peer_link, platform_link, telemetry
 ///     cell_decider  -> caller_front, peer_link, endpoint_link, platform_link
-///     endpoint_link -> cell_decider
-///     peer_link     -> caller_front, cell_decider, platform_link
-///     platform_link -> caller_front, cell_decider, peer_link
+///     endpoint_link -> cell_decider, peer_link
+///     peer_link     -> caller_front, cell_decider, endpoint_link,
+///     platform_link platform_link -> caller_front, cell_decider, peer_link
 ///     telemetry     -> caller_front
 
 #ifndef JASMINESPAR_DAEMON_DUTY_MESSAGES_H_
@@ -70,6 +70,10 @@
 struct HandoverCell {
   CellId cell;
 };
+/// Whether the platform's store answers this instance.
+struct StoreReached {
+  bool available = true;
+};
 /// The journal of the cell wants a snapshot.
 struct SnapshotWanted {
   CellId cell;
@@ -77,7 +81,7 @@
 };
 using ToDecider =
     std::variant<CellInput, CellClaimed, CellLost, HandoverCell, SnapshotWanted,
-                 CellsChanged, ConfigurationChanged>;
+                 StoreReached, CellsChanged, ConfigurationChanged>;
 
 // To caller_front.
 
@@ -125,8 +129,14 @@
 struct TopologyReplaced {
   configuration::CellTopology topology;
 };
-using ToEndpoint =
-    std::variant<TaskRequested, CellTaken, CellDropped, TopologyReplaced>;
+/// Asks every worker of the cell for its report under that epoch, which gives
+/// the cell's lease; answered by LeaseAnswered.
+struct LeasesWanted {
+  Epoch epoch;
+  configuration::CellTopology topology;
+};
+using ToEndpoint = std::variant<TaskRequested, CellTaken, CellDropped,
+                                TopologyReplaced, LeasesWanted>;
 
 // To platform_link.
 
@@ -176,6 +186,10 @@
   std::uint64_t connection = 0;
   Revision after;
 };
+/// Workers that a peer knows; used until the platform's list is read.
+struct WorkersReceived {
+  std::vector<configuration::Worker> workers;
+};
 /// The number of owners this instance knows: its divisor of the write budget.
 struct OwnersCounted {
   std::uint32_t owners = 1;
@@ -183,7 +197,8 @@
 using ToPlatform =
     std::variant<JournalAppended, SnapshotTaken, CellReleased,
                  OwnershipRequested, JournalClosed, NoteSubmitted, NotesListed,
-                 NotesReceived, PeerNotesRequested, OwnersCounted>;
+                 NotesReceived, PeerNotesRequested, WorkersReceived,
+                 OwnersCounted>;
 
 // To peer_link.
 
@@ -241,12 +256,23 @@
   std::uint64_t connection = 0;
   protocol::Notes notes;
 };
-/// Heartbeats say that this instance leaves; its cells are handed over.
-struct LeaveSite {};
+/// A worker's word on LeasesWanted; one that cannot be reached says nothing.
+struct LeaseAnswered {
+  CellId cell;
+  Epoch epoch;
+  WorkerId worker;
+  bool granted = false;
+};
+/// Heartbeats say that this instance leaves; its cells are handed over once
+/// another instance of the data centre is there to take them, or when
+/// `nothing_waits` says that no caller here needs them any more.
+struct LeaveSite {
+  bool nothing_waits = false;
+};
 using ToPeer =
     std::variant<CallForwarded, ForwardAbandoned, PeerReplied, CellsReported,
                  ListReceived, OwnershipAnswer, PeerNotesFound, CellsChanged,
-                 ConfigurationChanged, LeaveSite>;
+                 ConfigurationChanged, LeaseAnswered, LeaveSite>;
 
 /// @return the cell's input for an operation whose reply goes to `token`.
 [[nodiscard]] cell::Input ToInput(cell::ReplyToken token, protocol::CallOp op);
--- a/packages/scheduling/include/jasminespar/scheduling/job_table.h
+++ b/packages/scheduling/include/jasminespar/scheduling/job_table.h
@@ -17,6 +17,7 @@
 namespace jasminespar::scheduling {
 
 enum class JobState : std::uint8_t {
+  kNone,
   kWaiting,
   kClaiming,
   kReady,
@@ -24,7 +25,8 @@
   kReclaiming,
 };
 
-inline constexpr NameTable<JobState, 5> kJobStateNames{{
+inline constexpr NameTable<JobState, 6> kJobStateNames{{
+    {JobState::kNone, "none", "No job has this slot."},
     {JobState::kWaiting, "waiting", "In the queue."},
     {JobState::kClaiming, "claiming", "Waits for gangs to give way."},
     {JobState::kReady, "ready", "Starts with the next decision."},
@@ -33,9 +35,6 @@
 }};
 static_assert(IsDense(kJobStateNames));
 
-/// Number of levels of attained service.
-inline constexpr std::size_t kServiceLevels = 4;
-
 struct JobRecord {
   Job job;
   AccountIndex account = 0;
@@ -45,6 +44,7 @@
   Duration attained{};  ///< Run time of earlier attempts.
   /// Accelerators counted in the account's borrowed ones.
   std::uint32_t charged = 0;
+  std::size_t running_at = 0;  ///< Place among the started jobs.
 
   /// @return whether no part of the job has been started.
   [[nodiscard]] bool IsWaiting() const noexcept {
@@ -79,6 +79,7 @@
   void Erase(JobIndex job) {
     index_.erase(records_[job].job.id);
     records_[job] = JobRecord{};
+    records_[job].state = JobState::kNone;
     unused_.push_back(job);
   }
   [[nodiscard]] std::size_t size() const noexcept { return index_.size(); }
--- a/packages/scheduling/include/jasminespar/scheduling/waiting_queue.h
+++ b/packages/scheduling/include/jasminespar/scheduling/waiting_queue.h
@@ -57,6 +57,15 @@
     return buckets_;
   }
   [[nodiscard]] BucketKey KeyOf(const JobRecord& record) const;
+  /// @return whether a waiting job is the first of its bucket.
+  [[nodiscard]] bool IsFirst(JobIndex job, const JobRecord& record) const {
+    const auto bucket = buckets_.find(KeyOf(record));
+    return bucket != buckets_.end() && bucket->second.begin()->job == job;
+  }
+  /// @return a number that no other entry of a job into the queue has had.
+  [[nodiscard]] std::uint64_t EntryOf(JobIndex job) const {
+    return sequence_[job];
+  }
   [[nodiscard]] Grouping grouping() const noexcept { return grouping_; }
   [[nodiscard]] std::size_t size() const noexcept { return size_; }
   [[nodiscard]] std::uint32_t WaitingOf(AccountIndex account) const {
--- a/packages/scheduling/src/admission.cc
+++ b/packages/scheduling/src/admission.cc
@@ -12,34 +12,26 @@
 
 constexpr Duration kMinRetryAfter = 250ms;
 constexpr Duration kMaxRetryAfter = 60s;
-constexpr std::int64_t kLevelFactor = 10;
 
 Refusal NotRun(Reason reason, Duration retry_after, std::string detail = {}) {
   return Refusal{reason, Verdict::kNotRun, retry_after, std::move(detail)};
 }
 
-std::uint8_t LevelFor(const LeastAttainedService& policy, Duration service) {
-  std::uint8_t level = 0;
-  Duration bound = policy.first_level;
-  while (service >= bound && level + 1U < kServiceLevels) {
-    ++level;
-    bound *= kLevelFactor;
-  }
-  return level;
-}
-
 }  // namespace
 
 std::uint8_t Scheduler::State::LevelOf(const Job& job,
                                        Duration attained) const {
-  const auto* policy = std::get_if<LeastAttainedService>(&settings_.queue);
-  if (policy == nullptr) return 0;
-  Duration service = attained;
-  if (policy->learn_run_times) {
-    const auto typical = run_times_.Typical(job.service, job.gang.accelerators);
-    service = std::max(service, typical.value_or(Duration{}));
-  }
-  return LevelFor(*policy, service * job.gang.accelerators);
+  const auto in_levels = [&](const LeastAttainedService& policy) {
+    Duration service = attained;
+    if (policy.learn_run_times) {
+      const auto typical =
+          run_times_.Typical(job.service, job.gang.accelerators);
+      service = std::max(service, typical.value_or(Duration{}));
+    }
+    return LevelOfService(policy, service * job.gang.accelerators);
+  };
+  const auto in_one_line = [](const auto&) { return std::uint8_t{0}; };
+  return std::visit(Overloaded{in_levels, in_one_line}, settings_.queue);
 }
 
 Duration Scheduler::State::DrainTime(const JobRecord& record,
@@ -50,19 +42,16 @@
                     kMaxRetryAfter);
 }
 
-std::optional<Refusal> Scheduler::State::RefuseDeadline(const JobRecord& record,
-                                                        TimePoint now) const {
-  const auto* policy = std::get_if<RefuseUnreachable>(&settings_.admission);
-  if (policy == nullptr) return std::nullopt;
+std::optional<Refusal> Scheduler::State::RefuseDeadline(
+    const RefuseUnreachable& policy, const JobRecord& record,
+    TimePoint now) const {
   const auto gang = static_cast<std::uint32_t>(record.job.gang.accelerators);
   if (allocator_.tree().free() >= gang) return std::nullopt;
-  if (accounts_[record.account].has_guarantee &&
-      UnusedGuarantee(allocator_.tree(), allocator_.clusters(),
-                      record.account) >= gang) {
+  if (HasGuaranteeRoom(record.account, record.job.gang)) {
     return std::nullopt;
   }
   const auto wait = drain_.ExpectedWait(queue_.demand(), record.job.priority,
-                                        record.level, policy->min_starts, now);
+                                        record.level, policy.min_starts, now);
   if (!wait || now + *wait < record.job.deadline) return std::nullopt;
   const Duration over = now + *wait - record.job.deadline;
   return NotRun(Reason::kDeadlineUnreachable,
@@ -91,15 +80,23 @@
       accounts_[record.account].max_waiting) {
     return NotRun(Reason::kAccountQueueFull, DrainTime(record, now));
   }
-  return RefuseDeadline(record, now);
+  return std::visit(
+      Overloaded{
+          [](const AdmitUntilFull&) { return std::optional<Refusal>{}; },
+          [&](const RefuseUnreachable& policy) {
+            return RefuseDeadline(policy, record, now);
+          },
+      },
+      settings_.admission);
 }
 
 LoadSummary Scheduler::State::Summary(TimePoint now) const {
   LoadSummary summary;
   summary.free_accelerators = allocator_.tree().free();
   summary.total_accelerators = allocator_.tree().total();
-  summary.waiting_jobs = static_cast<std::uint32_t>(jobs_.size()) - running_;
-  summary.running_jobs = running_;
+  summary.waiting_jobs =
+      static_cast<std::uint32_t>(jobs_.size() - running_.size());
+  summary.running_jobs = static_cast<std::uint32_t>(running_.size());
   summary.largest_free_shape = allocator_.tree().LargestFreeShape();
   if (summary.free_accelerators == 0) {
     const auto wait =
--- a/packages/scheduling/src/decide.cc
+++ b/packages/scheduling/src/decide.cc
@@ -21,12 +21,14 @@
   actions_.clear();
   EndQuarantines(now);
   DropExpired(now);
+  TakeTimers(now);
   for (const JobIndex job : std::exchange(ready_, {})) StartNow(job, now);
   for (int pass = 0; pass == 0 || (freed_ && pass < kMaxPasses); ++pass) {
     full_pass_ = std::exchange(freed_, false);
     RunPolicy(now);
     new_heads_.clear();
   }
+  while (!timers_.empty() && IsStale(timers_.top())) timers_.pop();
   allocator_.CheckDecision();
   if (settings_.validation == Validation::kFull) allocator_.CheckFully();
   return std::exchange(actions_, {});
@@ -75,12 +77,12 @@
 TimePoint Scheduler::State::DeclaredStart(JobIndex head, TimePoint now) const {
   // The head starts once enough running gangs have come to their declared end.
   std::vector<std::pair<TimePoint, int>> ends;
-  jobs_.ForEach([&](JobIndex, const JobRecord& record) {
-    if (record.IsWaiting()) return;
+  for (const JobIndex job : running_) {
+    const JobRecord& record = jobs_.at(job);
     ends.emplace_back(
         std::max(now, record.started + record.job.declared_run_time),
         record.job.gang.accelerators);
-  });
+  }
   std::sort(ends.begin(), ends.end());
   int free = static_cast<int>(allocator_.tree().free());
   for (const auto& [end, accelerators] : ends) {
@@ -113,29 +115,28 @@
   return {job, record.account, record.job.gang, record.job.reclaimable};
 }
 
-std::optional<Allocated> Scheduler::State::Allocate(JobIndex job) {
+std::optional<Allocated> Scheduler::State::Allocate(JobIndex job,
+                                                    TimePoint now) {
   const GangRequest request = RequestOf(job);
   const auto gang = static_cast<std::uint32_t>(request.shape.accelerators);
-  const bool guaranteed =
-      accounts_[request.account].has_guarantee &&
-      UnusedGuarantee(allocator_.tree(), allocator_.clusters(),
-                      request.account) >= gang;
+  const bool guaranteed = HasGuaranteeRoom(request.account, request.shape);
   if (guaranteed && allocator_.tree().free() >= gang) {
     auto allocated =
         allocator_.AllocateGuaranteed(request, ReclaimRule::kFreeOnly);
     if (allocated) return allocated;
   }
-  if (guaranteed) {
+  const bool patient = IsPatient(jobs_.at(job)) &&
+                       now < jobs_.at(job).job.arrival + reclaim_patience_;
+  if (guaranteed && !patient) {
     auto allocated =
         allocator_.AllocateGuaranteed(request, ReclaimRule::kMayReclaim);
     if (allocated) return allocated;
   }
-  const Misses::Kind kind{request.shape.adjacency, request.reclaimable};
-  const auto miss = misses_.smallest.find(kind);
-  if (miss == misses_.smallest.end() ||
-      request.shape.accelerators < miss->second) {
+  // As a borrower it could be reclaimed although its guarantee has room.
+  if (guaranteed && patient) return std::nullopt;
+  if (!misses_.Contains(request)) {
     if (auto allocated = allocator_.AllocateSpare(request)) return allocated;
-    misses_.smallest[kind] = request.shape.accelerators;
+    misses_.Add(request);
   }
   const Priority priority = jobs_.at(job).job.priority;
   if (priority != Priority::kUrgent) return std::nullopt;
@@ -145,18 +146,19 @@
 std::optional<Allocated> Scheduler::State::AllocateUrgent(
     const GangRequest& request, Priority priority) {
   Displaceable displaceable(allocator_.tree().workers().size());
-  jobs_.ForEach([&](JobIndex job, const JobRecord& record) {
-    if (record.state != JobState::kRunning) return;
-    if (record.job.priority <= priority) return;
+  for (const JobIndex job : running_) {
+    const JobRecord& record = jobs_.at(job);
+    if (record.state != JobState::kRunning) continue;
+    if (record.job.priority <= priority) continue;
     const Gang& gang = allocator_.gang(job);
-    if (gang.hold != HoldClass::kBorrowed) return;
+    if (gang.hold != HoldClass::kBorrowed) continue;
     for (const Part& part : gang.parts) displaceable[part.worker] |= part.mask;
-  });
+  }
   return allocator_.AllocateDisplacing(request, displaceable);
 }
 
 bool Scheduler::State::TryStart(JobIndex job, TimePoint now) {
-  const auto allocated = Allocate(job);
+  const auto allocated = Allocate(job, now);
   if (!allocated) return false;
   Started(job, *allocated, now);
   return true;
@@ -169,7 +171,7 @@
   if (reservation_ && reservation_->job == job) {
     reservation_.reset();
     allocator_.ClearReserved();
-    misses_.smallest.clear();
+    misses_.Clear();
   }
   for (const JobIndex victim : allocated.reclaim) {
     jobs_.at(victim).state = JobState::kReclaiming;
@@ -187,7 +189,7 @@
   JobRecord& record = jobs_.at(job);
   record.state = JobState::kRunning;
   record.started = now;
-  ++running_;
+  AddRunning(job);
   drain_.RecordStart(record.job.priority, record.level,
                      record.job.gang.accelerators, now);
   StartGang start{record.job.id, {}};
@@ -207,11 +209,7 @@
   if (const auto deadline = queue_.FirstDeadline()) {
     consider(deadline->arrival);
   }
-  if (reservation_ || queue_.grouping() == Grouping::kOneLine) return next;
-  for (const auto& [key, bucket] : queue_.buckets()) {
-    const TimePoint due = bucket.begin()->arrival + settings_.reservation_wait;
-    if (due > now) consider(due);
-  }
+  if (!timers_.empty()) consider(std::max(now, timers_.top().at));
   return next;
 }
 
--- a/packages/scheduling/src/scheduler_state.cc
+++ b/packages/scheduling/src/scheduler_state.cc
@@ -30,6 +30,16 @@
       policy);
 }
 
+Duration PatienceOf(const QueuePolicy& policy) {
+  return std::visit(Overloaded{
+                        [](const LeastAttainedService& attained) {
+                          return attained.reclaim_patience;
+                        },
+                        [](const auto&) { return Duration{}; },
+                    },
+                    policy);
+}
+
 }  // namespace
 
 Scheduler::State::State(const PolicySettings& settings,
@@ -40,7 +50,8 @@
       drain_(WindowOf(settings.admission)),
       health_(HealthSettings{settings.quarantine_failures,
                              settings.quarantine_time,
-                             settings.poison_failures}) {}
+                             settings.poison_failures}),
+      reclaim_patience_(PatienceOf(settings.queue)) {}
 
 AccountIndex Scheduler::State::AccountOf(const ClientAccountId& id) {
   const auto next = static_cast<AccountIndex>(accounts_.size());
@@ -49,9 +60,27 @@
   return entry->second;
 }
 
+bool Scheduler::State::HasGuaranteeRoom(AccountIndex account,
+                                        const GangShape& shape) const {
+  return accounts_[account].has_guarantee &&
+         allocator_.clusters().cluster(account).Unused() >= shape.accelerators;
+}
+
+void Scheduler::State::AddRunning(JobIndex job) {
+  jobs_.at(job).running_at = running_.size();
+  running_.push_back(job);
+}
+
+void Scheduler::State::RemoveRunning(JobIndex job) {
+  const std::size_t at = jobs_.at(job).running_at;
+  running_[at] = running_.back();
+  jobs_.at(running_[at]).running_at = at;
+  running_.pop_back();
+}
+
 void Scheduler::State::NoteFreed() {
   freed_ = true;
-  misses_.smallest.clear();
+  misses_.Clear();
 }
 
 void Scheduler::State::Charge(JobIndex job) {
@@ -73,10 +102,57 @@
     JobRecord& record = jobs_.at(job);
     record.state = JobState::kWaiting;
     queue_.Add(job, record);
+    SetTimers(job);
   }
   if (!returned.empty()) NoteFreed();
 }
 
+bool Scheduler::State::IsPatient(const JobRecord& record) const {
+  // A longer job must not run as a borrower while its guarantee has room.
+  return reclaim_patience_ > Duration{} && record.level == 0;
+}
+
+void Scheduler::State::SetTimers(JobIndex job) {
+  std::visit(
+      Overloaded{
+          [&](const LeastAttainedService& policy) { SetTimers(policy, job); },
+          [](const auto&) {},
+      },
+      settings_.queue);
+}
+
+void Scheduler::State::SetTimers(const LeastAttainedService& policy,
+                                 JobIndex job) {
+  const JobRecord& record = jobs_.at(job);
+  const std::uint64_t entry = queue_.EntryOf(job);
+  const auto set = [&](Duration wait) {
+    timers_.push({record.job.arrival + wait, job, entry});
+  };
+  set(settings_.reservation_wait);
+  if (policy.give_way_wait > Duration{}) set(policy.give_way_wait);
+  if (IsPatient(record) && accounts_[record.account].has_guarantee) {
+    set(reclaim_patience_);
+  }
+}
+
+bool Scheduler::State::IsStale(const Timer& timer) const {
+  return jobs_.at(timer.job).state != JobState::kWaiting ||
+         queue_.EntryOf(timer.job) != timer.entry;
+}
+
+void Scheduler::State::TakeTimers(TimePoint now) {
+  while (!timers_.empty()) {
+    const Timer timer = timers_.top();
+    const bool stale = IsStale(timer);
+    if (!stale && timer.at > now) return;
+    timers_.pop();
+    // Jobs behind the first of a bucket are tried when it is their turn.
+    if (!stale && queue_.IsFirst(timer.job, jobs_.at(timer.job))) {
+      freed_ = true;
+    }
+  }
+}
+
 void Scheduler::State::MarkReady(const std::vector<JobIndex>& ready) {
   for (const JobIndex job : ready) {
     jobs_.at(job).state = JobState::kReady;
@@ -128,6 +204,7 @@
   if (earlier != attained_.end()) attained_.erase(earlier);
   const JobIndex index = jobs_.Add(std::move(record));
   if (queue_.Add(index, jobs_.at(index))) new_heads_.push_back(index);
+  SetTimers(index);
   return std::nullopt;
 }
 
@@ -175,7 +252,7 @@
     return;
   }
   Charge(index);
-  ++running_;
+  AddRunning(index);
 }
 
 void Scheduler::State::Release(const CallId& id, TimePoint now) {
@@ -189,8 +266,8 @@
   }
   Discharge(job);
   MarkReady(allocator_.Release(job));
+  RemoveRunning(job);
   jobs_.Erase(job);
-  --running_;
   NoteFreed();
 }
 
--- a/packages/scheduling/src/scheduler_state.h
+++ b/packages/scheduling/src/scheduler_state.h
@@ -4,9 +4,12 @@
 #ifndef JASMINESPAR_SCHEDULING_SRC_SCHEDULER_STATE_H_
 #define JASMINESPAR_SCHEDULING_SRC_SCHEDULER_STATE_H_
 
+#include <array>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
+#include <queue>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -39,6 +42,14 @@
   std::vector<Part> parts;
 };
 
+/// Moment at which a waiting job gains a right and must be tried again.
+struct Timer {
+  TimePoint at;
+  JobIndex job = kNoJob;
+  std::uint64_t entry = 0;  ///< Tells the job from a later one in its slot.
+  auto operator<=>(const Timer&) const = default;
+};
+
 class Scheduler::State {
  public:
   State(const PolicySettings& settings,
@@ -61,21 +72,33 @@
                                                    TimePoint now) const;
 
  private:
-  /// Shapes found not to fit, since the last time accelerators were freed.
-  struct Misses {
-    struct Kind {
-      Adjacency adjacency = Adjacency::kAny;
-      bool reclaimable = true;
-      auto operator<=>(const Kind&) const = default;
-    };
-    std::map<Kind, int> smallest;  ///< Accelerators.
+  /// Gangs found not to fit, since the last time accelerators were freed:
+  /// the smallest of each adjacency and right; larger ones do not fit either.
+  class Misses {
+   public:
+    [[nodiscard]] bool Contains(const GangRequest& request) const {
+      const int smallest = smallest_[IndexOf(request)];
+      return smallest > 0 && request.shape.accelerators >= smallest;
+    }
+    void Add(const GangRequest& request) {
+      smallest_[IndexOf(request)] = request.shape.accelerators;
+    }
+    void Clear() { smallest_.fill(0); }
+
+   private:
+    static std::size_t IndexOf(const GangRequest& request) {
+      return static_cast<std::size_t>(request.shape.adjacency) * 2 +
+             (request.reclaimable ? 1 : 0);
+    }
+    std::array<int, kAdjacencyNames.size() * 2> smallest_{};
   };
 
   // admission.cc
   [[nodiscard]] std::optional<Refusal> Refuse(const JobRecord& record,
                                               TimePoint now) const;
-  [[nodiscard]] std::optional<Refusal> RefuseDeadline(const JobRecord& record,
-                                                      TimePoint now) const;
+  [[nodiscard]] std::optional<Refusal> RefuseDeadline(
+      const RefuseUnreachable& policy, const JobRecord& record,
+      TimePoint now) const;
   [[nodiscard]] Duration DrainTime(const JobRecord& record,
                                    TimePoint now) const;
   [[nodiscard]] std::uint8_t LevelOf(const Job& job, Duration attained) const;
@@ -90,7 +113,12 @@
   void ServeReservation(TimePoint now);
   void MakeReservation(TimePoint now);
   [[nodiscard]] bool TryStart(JobIndex job, TimePoint now);
-  [[nodiscard]] std::optional<Allocated> Allocate(JobIndex job);
+  [[nodiscard]] std::optional<Allocated> Allocate(JobIndex job, TimePoint now);
+  [[nodiscard]] bool HasGuaranteeRoom(AccountIndex account,
+                                      const GangShape& shape) const;
+  void GiveWay(const LeastAttainedService& policy, TimePoint now);
+  [[nodiscard]] Displaceable Giving(const LeastAttainedService& policy,
+                                    std::uint8_t level, TimePoint now) const;
   [[nodiscard]] std::optional<Allocated> AllocateUrgent(
       const GangRequest& request, Priority priority);
   void Started(JobIndex job, const Allocated& allocated, TimePoint now);
@@ -104,6 +132,13 @@
   void ReturnClaims(const std::vector<JobIndex>& returned);
   void MarkReady(const std::vector<JobIndex>& ready);
   void NoteFreed();
+  void AddRunning(JobIndex job);
+  void RemoveRunning(JobIndex job);
+  void SetTimers(JobIndex job);
+  void SetTimers(const LeastAttainedService& policy, JobIndex job);
+  void TakeTimers(TimePoint now);
+  [[nodiscard]] bool IsStale(const Timer& timer) const;
+  [[nodiscard]] bool IsPatient(const JobRecord& record) const;
   void Charge(JobIndex job);
   void Discharge(JobIndex job);
 
@@ -122,9 +157,12 @@
   std::vector<Action> actions_;
   std::optional<Reservation> reservation_;
   Misses misses_;
+  std::priority_queue<Timer, std::vector<Timer>, std::greater<>> timers_;
   bool freed_ = true;       ///< Accelerators or rights changed since.
   bool full_pass_ = false;  ///< Every bucket is looked at in this pass.
-  std::uint32_t running_ = 0;
+  Duration reclaim_patience_{};
+  TimePoint last_give_way_;
+  std::vector<JobIndex> running_;  ///< In no order; see running_at.
 };
 
 }  // namespace jasminespar::scheduling
