--- a/packages/scheduling/src/scheduler_state.cc
+++ b/packages/scheduling/src/scheduler_state.cc
@@ -31,8 +31,13 @@
 }
 
 Duration PatienceOf(const QueuePolicy& policy) {
-  const auto* attained = std::get_if<LeastAttainedService>(&policy);
-  return attained == nullptr ? Duration{} : attained->reclaim_patience;
+  return std::visit(Overloaded{
+                        [](const LeastAttainedService& attained) {
+                          return attained.reclaim_patience;
+                        },
+                        [](const auto&) { return Duration{}; },
+                    },
+                    policy);
 }
 
 }  // namespace
@@ -58,13 +63,24 @@
 bool Scheduler::State::HasGuaranteeRoom(AccountIndex account,
                                         const GangShape& shape) const {
   return accounts_[account].has_guarantee &&
-         UnusedGuarantee(allocator_.tree(), allocator_.clusters(), account) >=
-             static_cast<std::uint32_t>(shape.accelerators);
+         allocator_.clusters().cluster(account).Unused() >= shape.accelerators;
+}
+
+void Scheduler::State::AddRunning(JobIndex job) {
+  jobs_.at(job).running_at = running_.size();
+  running_.push_back(job);
+}
+
+void Scheduler::State::RemoveRunning(JobIndex job) {
+  const std::size_t at = jobs_.at(job).running_at;
+  running_[at] = running_.back();
+  jobs_.at(running_[at]).running_at = at;
+  running_.pop_back();
 }
 
 void Scheduler::State::NoteFreed() {
   freed_ = true;
-  misses_.smallest.clear();
+  misses_.Clear();
 }
 
 void Scheduler::State::Charge(JobIndex job) {
@@ -97,34 +113,43 @@
 }
 
 void Scheduler::State::SetTimers(JobIndex job) {
-  const auto* policy = std::get_if<LeastAttainedService>(&settings_.queue);
-  if (policy == nullptr) return;
+  std::visit(
+      Overloaded{
+          [&](const LeastAttainedService& policy) { SetTimers(policy, job); },
+          [](const auto&) {},
+      },
+      settings_.queue);
+}
+
+void Scheduler::State::SetTimers(const LeastAttainedService& policy,
+                                 JobIndex job) {
   const JobRecord& record = jobs_.at(job);
   const std::uint64_t entry = queue_.EntryOf(job);
   const auto set = [&](Duration wait) {
     timers_.push({record.job.arrival + wait, job, entry});
   };
   set(settings_.reservation_wait);
-  if (policy->give_way_wait > Duration{}) set(policy->give_way_wait);
+  if (policy.give_way_wait > Duration{}) set(policy.give_way_wait);
   if (IsPatient(record) && accounts_[record.account].has_guarantee) {
     set(reclaim_patience_);
   }
 }
 
 bool Scheduler::State::IsStale(const Timer& timer) const {
-  const JobRecord& record = jobs_.at(timer.job);
-  return record.state != JobState::kWaiting ||
-         jobs_.Find(record.job.id) != timer.job ||
+  return jobs_.at(timer.job).state != JobState::kWaiting ||
          queue_.EntryOf(timer.job) != timer.entry;
 }
 
 void Scheduler::State::TakeTimers(TimePoint now) {
   while (!timers_.empty()) {
-    const Timer& timer = timers_.top();
+    const Timer timer = timers_.top();
     const bool stale = IsStale(timer);
     if (!stale && timer.at > now) return;
-    if (!stale) freed_ = true;
     timers_.pop();
+    // Jobs behind the first of a bucket are tried when it is their turn.
+    if (!stale && queue_.IsFirst(timer.job, jobs_.at(timer.job))) {
+      freed_ = true;
+    }
   }
 }
 
@@ -227,7 +252,7 @@
     return;
   }
   Charge(index);
-  ++running_;
+  AddRunning(index);
 }
 
 void Scheduler::State::Release(const CallId& id, TimePoint now) {
@@ -241,8 +266,8 @@
   }
   Discharge(job);
   MarkReady(allocator_.Release(job));
+  RemoveRunning(job);
   jobs_.Erase(job);
-  --running_;
   NoteFreed();
 }
 
