Tell the truth at once when the store fails; find the epoch of a cell nobody remembers

Change: (1) such calls are refused store_unavailable/not_run at once; to keep that true, an owner that takes over a call whose caller waits on its connection starts it only when the caller asks again (the front does so by itself). Numbers of attempts given up unordered are not used again. (2) A worker's stale epoch refusal of a report names the epoch it has seen. (3) Keys name the note; unknown members of stored and peers' notes are ignored; may_have_run.

--- a/packages/cell/src/admission.cc
+++ b/packages/cell/src/admission.cc
@@ -1,5 +1,6 @@
 #include "admission.h"
 
+#include <algorithm>
 #include <utility>
 #include <variant>
 
@@ -63,6 +64,9 @@
     call.request.delivery = Delivery::kCollect;
     Accept(context, call);
   }
+  if (std::exchange(call.parked, false) && waits && !context.recovering) {
+    OfferAgain(context, call);
+  }
   Wait(context, call, submit.token, submit.request.delivery);
   Rearm(context, call);
 }
@@ -116,6 +120,11 @@
     call.attempt = earlier->second;
     call.seen = Verdict::kMayHaveRun;
   }
+  if (const auto spent = context.spent_attempts.find(call.request.id);
+      spent != context.spent_attempts.end()) {
+    call.attempt = std::max(call.attempt, spent->second);
+    context.spent_attempts.erase(spent);
+  }
   // Until the workers have reported, an earlier owner may have run it.
   if (context.recovering && IsIdempotent(call)) {
     call.seen = Verdict::kMayHaveRun;
@@ -187,6 +196,28 @@
   Rearm(context, call);
 }
 
+/// @return whether the call waits for a record of a caller that can be told
+///     that nothing ran: no worker has heard of it and none will.
+bool IsUnrecorded(const Context& context, const Call& call) {
+  const bool unordered =
+      call.phase == CallPhase::kWaiting || call.phase == CallPhase::kStarting;
+  return unordered && call.seen == Verdict::kNotRun && !IsIdempotent(call) &&
+         call.request.delivery == Delivery::kWait && call.accepted.value > 0 &&
+         !context.journal.IsDurable(call.accepted);
+}
+
+void RefuseUnrecordedCall(Context& context, Call& call) {
+  Withdraw(context, call);
+  if (call.phase == CallPhase::kStarting) AbandonStart(context, call);
+  ReplyToAll(
+      context, call,
+      Refusal{Reason::kStoreUnavailable, Verdict::kNotRun, kStoreRetry, {}});
+  const CallId id = call.request.id;
+  if (call.attempt.value > 0) context.spent_attempts[id] = call.attempt;
+  context.timers.Set(id, std::nullopt);
+  context.calls.Erase(id);
+}
+
 void GiveBack(Context& context, Call& call) {
   Withdraw(context, call);
   call.enqueue_at.reset();
@@ -305,6 +336,14 @@
   Rearm(context, call);
 }
 
+void RefuseUnrecorded(Context& context) {
+  if (context.recovering) return;
+  for (const CallId& id : context.calls.Ids()) {
+    Call& call = *context.calls.Find(id);
+    if (IsUnrecorded(context, call)) RefuseUnrecordedCall(context, call);
+  }
+}
+
 void GiveBackWaiting(Context& context) {
   for (const CallId& id : context.calls.Ids()) {
     Call& call = *context.calls.Find(id);
--- a/packages/cell/src/admission.h
+++ b/packages/cell/src/admission.h
@@ -20,6 +20,11 @@
 /// Takes the news that a record of the call is durable.
 void TakeDurable(Context& context, Call& call);
 
+/// The store does not answer: refuses the non-idempotent calls whose
+/// acceptance is not durable. Their records may still become so, but a later
+/// owner starts such a call only when its caller asks again.
+void RefuseUnrecorded(Context& context);
+
 /// Gives waiting calls back. One that was promised stays for the next owner,
 /// and who waits for it is told to ask there.
 void GiveBackWaiting(Context& context);
--- a/packages/cell/src/call.h
+++ b/packages/cell/src/call.h
@@ -45,6 +45,10 @@
   bool enqueued = false;                ///< Waits in the scheduler.
   std::optional<TimePoint> enqueue_at;  ///< When to ask the scheduler again.
   bool cancelled = false;
+  /// Taken over from an earlier owner for a caller that waits on its
+  /// connection: started only when that caller asks again, as the earlier
+  /// owner may have refused it without a record.
+  bool parked = false;
 
   /// Of the latest attempt, when an earlier owner recorded it and its end is
   /// not known yet.
--- a/packages/cell/src/cell.cc
+++ b/packages/cell/src/cell.cc
@@ -112,6 +112,7 @@
 
   void Take(const StoreChanged& changed) {
     context_.store_available = changed.available;
+    if (!changed.available) RefuseUnrecorded(context_);
   }
 
   void Take(BeginHandover /*begin*/) {
--- a/packages/cell/src/context.h
+++ b/packages/cell/src/context.h
@@ -46,6 +46,9 @@
   /// Latest known attempts of calls that an earlier owner may have run
   /// without a promise.
   std::unordered_map<CallId, Attempt> earlier_attempts;
+  /// Numbers of attempts that were given up before any worker heard of them,
+  /// of calls that were given back; their records may be durable.
+  std::unordered_map<CallId, Attempt> spent_attempts;
   StrayTasks strays;
   JournalWriter journal;
   TimerQueue timers;
--- a/packages/cell/src/work_queue.cc
+++ b/packages/cell/src/work_queue.cc
@@ -46,6 +46,10 @@
 
 void OfferAgain(Context& context, Call& call) {
   call.enqueue_at.reset();
+  if (call.parked) {
+    Rearm(context, call);
+    return;
+  }
   std::optional<Refusal> refusal = Enqueue(context, call);
   if (refusal && !MayPass(refusal->reason)) {
     End(context, call, *std::move(refusal));
--- a/packages/daemon/include/jasminespar/daemon/configuration_store.h
+++ b/packages/daemon/include/jasminespar/daemon/configuration_store.h
@@ -3,8 +3,8 @@
 /// platform's table and follows the notes that others had accepted.
 ///
 /// Rows: "configuration/head" names the revision and the last snapshot;
-/// "note/NNNN" is a ring of the newest notes; object "configuration/R" is a
-/// whole configuration. A note is accepted by one transaction conditional on
+/// "note/NNNN" is a ring of the newest notes; objects "configuration/R-N" are
+/// whole configurations. A note is accepted by one transaction conditional on
 /// the head, so that of racing notes one wins.
 
 #ifndef JASMINESPAR_DAEMON_CONFIGURATION_STORE_H_
@@ -62,6 +62,7 @@
   struct Head {
     std::uint64_t revision = 0;
     std::uint64_t snapshot = 0;
+    std::string snapshot_key;
     std::uint64_t version = platform::kAbsentVersion;
   };
   struct Submission {
@@ -77,7 +78,7 @@
   boost::asio::awaitable<void> CatchUp(Head head);
   boost::asio::awaitable<void> LoadWhole(Head head);
   boost::asio::awaitable<configuration::Configuration> FetchSnapshot(
-      std::uint64_t revision);
+      std::string key);
   boost::asio::awaitable<Notes> FetchNotes(std::uint64_t first,
                                            std::uint64_t last);
   boost::asio::awaitable<void> ServeSubmissions();
--- a/packages/daemon/include/jasminespar/daemon/duty_messages.h
+++ b/packages/daemon/include/jasminespar/daemon/duty_messages.h
@@ -262,6 +262,7 @@
   Epoch epoch;
   WorkerId worker;
   bool granted = false;
+  Epoch highest;  ///< Seen by a worker that refused.
 };
 /// Heartbeats say that this instance leaves; its cells are handed over once
 /// another instance of the data centre is there to take them, or when
--- a/packages/daemon/include/jasminespar/daemon/peer_link.h
+++ b/packages/daemon/include/jasminespar/daemon/peer_link.h
@@ -116,7 +116,8 @@
   Cells cells_;  // Null until the workers are known.
   std::vector<CellId> cell_ids_;
   std::vector<membership::OwnedCell> owned_;
-  std::map<CellId, Epoch> releasing_;  // Rows being given back.
+  std::map<CellId, Epoch> worker_epochs_;  // Highest that workers named.
+  std::map<CellId, Epoch> releasing_;      // Rows being given back.
   Revision revision_;
   std::uint64_t sequence_ = 0;
   bool leaving_ = false;
--- a/packages/daemon/src/caller_front.cc
+++ b/packages/daemon/src/caller_front.cc
@@ -296,7 +296,7 @@
                                                  CallId id) {
   const ClientAccountId account{
       std::string(http::HeaderOf(request.headers, "Jasminespar-Account"))};
-  cell::CallReply reply = RefuseFor(Reason::kNotFound, Verdict::kNotRun);
+  cell::CallReply reply = RefuseFor(Reason::kNotFound, Verdict::kMayHaveRun);
   for (const CellId& home : HomesOf(id)) {
     Errand errand;
     errand.cell = home;
--- a/packages/daemon/src/configuration_store.cc
+++ b/packages/daemon/src/configuration_store.cc
@@ -45,8 +45,12 @@
   return text;
 }
 
-std::string SnapshotKey(std::uint64_t revision) {
-  return "configuration/" + std::to_string(revision);
+/// Racing notes compile to different configurations of one revision, so the
+/// key names the note as well.
+std::string SnapshotKey(std::uint64_t revision,
+                        const configuration::NoteId& note) {
+  return "configuration/" + std::to_string(revision) + "-" +
+         std::to_string(DigestOf(note.value).value);
 }
 
 /// A row of the ring: which revision it holds now, and its note.
@@ -58,7 +62,9 @@
 ReleaseNote FromRow(const std::string& row, std::uint64_t revision) {
   const std::size_t end = row.find('\n');
   if (row.substr(0, end) == std::to_string(revision)) {
-    auto parsed = codec::ParseNote(row.substr(end + 1));
+    // A newer instance may have written members that this one does not know.
+    auto parsed =
+        codec::ParseNote(row.substr(end + 1), codec::UnknownMembers::kIgnore);
     if (auto* note = std::get_if<ReleaseNote>(&parsed)) return std::move(*note);
   }
   throw Error(Reason::kStoreUnavailable, Verdict::kNotRun,
@@ -153,6 +159,7 @@
     }
     head.revision = json.value("revision", std::uint64_t{0});
     head.snapshot = json.value("snapshot", std::uint64_t{0});
+    head.snapshot_key = json.value("snapshot_key", std::string());
     head.version = rows[0].version;
   }
   co_return head;
@@ -164,7 +171,8 @@
     co_return;
   }
   if (keeper_.revision().value < head.snapshot) {
-    configuration::Configuration whole = co_await FetchSnapshot(head.snapshot);
+    configuration::Configuration whole =
+        co_await FetchSnapshot(head.snapshot_key);
     TakeWhole(std::move(whole));
   }
   while (keeper_.revision().value < head.revision) {
@@ -180,7 +188,7 @@
 // Published once, at the end: what came before it is in force nowhere.
 asio::awaitable<void> ConfigurationStore::LoadWhole(Head head) {
   configuration::Configuration whole;
-  if (head.snapshot > 0) whole = co_await FetchSnapshot(head.snapshot);
+  if (head.snapshot > 0) whole = co_await FetchSnapshot(head.snapshot_key);
   while (whole.revision.value < head.revision) {
     const std::uint64_t first = whole.revision.value + 1;
     const std::uint64_t last = std::min(head.revision, first + kReadKeys - 1);
@@ -200,17 +208,15 @@
 }
 
 asio::awaitable<configuration::Configuration> ConfigurationStore::FetchSnapshot(
-    std::uint64_t revision) {
-  const auto bytes = co_await table_.GetObject(SnapshotKey(revision));
+    std::string key) {
+  const auto bytes = co_await table_.GetObject(key);
   if (!bytes) {
-    throw Error(Reason::kStoreUnavailable, Verdict::kNotRun,
-                SnapshotKey(revision));
+    throw Error(Reason::kStoreUnavailable, Verdict::kNotRun, key);
   }
   auto parsed = codec::ParseConfiguration(*bytes);
   auto* whole = std::get_if<configuration::Configuration>(&parsed);
   if (whole == nullptr) {
-    throw Error(Reason::kStoreUnavailable, Verdict::kNotRun,
-                SnapshotKey(revision));
+    throw Error(Reason::kStoreUnavailable, Verdict::kNotRun, key);
   }
   co_return std::move(*whole);
 }
@@ -296,7 +302,7 @@
       if (whole != nullptr) TakeWhole(std::move(*whole));
       continue;
     }
-    auto parsed = codec::ParseNote(text);
+    auto parsed = codec::ParseNote(text, codec::UnknownMembers::kIgnore);
     if (const auto* note = std::get_if<ReleaseNote>(&parsed)) TakeNote(*note);
   }
 }
@@ -304,7 +310,8 @@
 NoteAnswered ConfigurationStore::ListAfter(Revision after) const {
   std::vector<ReleaseNote> notes;
   for (auto it = recent_.upper_bound(after.value); it != recent_.end(); ++it) {
-    notes.push_back(std::get<ReleaseNote>(codec::ParseNote(it->second)));
+    notes.push_back(std::get<ReleaseNote>(
+        codec::ParseNote(it->second, codec::UnknownMembers::kIgnore)));
   }
   NoteAnswered answer;
   answer.json = codec::EncodeNotes(notes);
@@ -400,17 +407,22 @@
     ReleaseNote note, configuration::Configuration next, Head head) {
   const std::uint64_t revision = next.revision.value;
   const bool snapshot = revision - head.snapshot >= kSnapshotInterval;
-  if (snapshot) head.snapshot = revision;
+  if (snapshot) {
+    head.snapshot = revision;
+    head.snapshot_key = SnapshotKey(revision, note.id);
+  }
   platform::Transaction transaction;
   transaction.id = "note " + note.id.value;
   transaction.conditions.push_back({kHeadKey, head.version});
   transaction.writes.push_back(
-      {kHeadKey,
-       Json{{"revision", revision}, {"snapshot", head.snapshot}}.dump()});
+      {kHeadKey, Json{{"revision", revision},
+                      {"snapshot", head.snapshot},
+                      {"snapshot_key", head.snapshot_key}}
+                     .dump()});
   transaction.writes.push_back({NoteKey(revision), ToRow(revision, note)});
   try {
     if (snapshot) {
-      co_await table_.PutObject(SnapshotKey(revision),
+      co_await table_.PutObject(head.snapshot_key,
                                 codec::EncodeConfiguration(next));
     }
     const platform::TransactionResult result =
--- a/packages/daemon/src/endpoint_link.cc
+++ b/packages/daemon/src/endpoint_link.cc
@@ -114,13 +114,14 @@
 asio::awaitable<void> EndpointLink::AskLease(endpoint::CellRef cell,
                                              configuration::Worker worker) {
   const std::shared_ptr<endpoint::WorkerClient> client = ClientOf(worker);
-  LeaseAnswered answer{cell.cell, cell.epoch, worker.id, false};
+  LeaseAnswered answer{cell.cell, cell.epoch, worker.id, false, {}};
   try {
     co_await client->FetchReport(cell, 0, Duration::zero());
     answer.granted = true;
-  } catch (const Error& error) {
-    // Silence is neither: the planner asks again in its next round.
-    if (error.reason() != Reason::kStaleEpoch) co_return;
+  } catch (const endpoint::StaleEpochError& error) {
+    answer.highest = error.highest();
+  } catch (const Error&) {
+    co_return;  // Silence is neither: the planner asks again in a later round.
   }
   peer_.Send(std::move(answer));
 }
--- a/packages/daemon/src/peer_link.cc
+++ b/packages/daemon/src/peer_link.cc
@@ -91,13 +91,13 @@
 // Without a successor a cell given back would leave the callers that wait
 // here without an owner until their deadlines.
 bool PeerLink::HasSuccessor(const membership::View& view) const {
-  return std::any_of(
-      view.members.begin(), view.members.end(),
-      [&](const membership::Member& member) {
-        return member.id != settings_.self.id &&
-               member.data_centre == settings_.self.data_centre &&
-               member.state == membership::MemberState::kLive;
-      });
+  return std::any_of(view.members.begin(), view.members.end(),
+                     [&](const membership::Member& member) {
+                       return member.id != settings_.self.id &&
+                              member.data_centre ==
+                                  settings_.self.data_centre &&
+                              member.state == membership::MemberState::kLive;
+                     });
 }
 
 // Heartbeats.
@@ -221,7 +221,10 @@
       candidate.workers.push_back(worker.id);
     }
     const membership::CellOwner* owner = view.FindCell(cell.id);
-    if (owner != nullptr) candidate.row_epoch = owner->epoch;
+    candidate.row_epoch = worker_epochs_[cell.id];
+    if (owner != nullptr) {
+      candidate.row_epoch = std::max(candidate.row_epoch, owner->epoch);
+    }
     cut_off.push_back(std::move(candidate));
   }
   Perform(provisional_.Plan(view, cut_off, planner_.store_down_since(), now));
@@ -248,6 +251,8 @@
 }
 
 void PeerLink::On(const LeaseAnswered& message) {
+  Epoch& known = worker_epochs_[message.cell];
+  known = std::max(known, message.highest);
   if (message.granted) {
     Perform(provisional_.WorkerGranted(message.cell, message.epoch,
                                        message.worker));
--- a/packages/endpoint/include/jasminespar/endpoint/worker_client.h
+++ b/packages/endpoint/include/jasminespar/endpoint/worker_client.h
@@ -15,6 +15,7 @@
 #include "jasminespar/cell/task.h"
 #include "jasminespar/configuration/topology.h"
 #include "jasminespar/core/call.h"
+#include "jasminespar/core/error.h"
 #include "jasminespar/core/time.h"
 #include "jasminespar/http/client.h"
 
@@ -43,6 +44,20 @@
   std::vector<cell::ReportedTask> tasks;
 };
 
+/// The worker knows a higher epoch of the cell; nothing was done.
+class StaleEpochError : public Error {
+ public:
+  explicit StaleEpochError(Epoch highest)
+      : Error(Reason::kStaleEpoch, Verdict::kNotRun, "a worker knows a higher"),
+        highest_(highest) {}
+
+  /// @return the epoch that the worker has seen; 0.0 when it does not say.
+  [[nodiscard]] Epoch highest() const noexcept { return highest_; }
+
+ private:
+  Epoch highest_;
+};
+
 /// Uses at most `max_connections` of the endpoint's 64, plus one for reports.
 class WorkerClient {
  public:
@@ -70,7 +85,8 @@
 
   /// Long poll. @param after 0 for all tasks. @param wait longest wait when
   ///     nothing changed.
-  /// @throws Error when there is no whole report.
+  /// @throws StaleEpochError when the worker knows a higher epoch, another
+  ///     Error when there is no whole report.
   [[nodiscard]] boost::asio::awaitable<Report> FetchReport(CellRef cell,
                                                            std::uint64_t after,
                                                            Duration wait);
--- a/packages/endpoint/src/worker_client.cc
+++ b/packages/endpoint/src/worker_client.cc
@@ -130,6 +130,15 @@
   return task;
 }
 
+/// @return the epoch that a refusal names, or 0.0.
+Epoch EpochOf(const std::string& body) {
+  const Json json = Json::parse(body, nullptr, false);
+  if (!json.is_object() || !json.contains("epoch")) return {};
+  return json["epoch"].is_string()
+             ? ParseEpoch(json["epoch"].get_ref<const std::string&>())
+             : Epoch{};
+}
+
 Report ToReport(const std::string& body) {
   try {
     const Json json = Json::parse(body);
@@ -233,6 +242,9 @@
     const auto* refused = std::get_if<OrderRefused>(&reply);
     const Reason reason =
         refused != nullptr ? refused->reason : Reason::kWorkerUnreachable;
+    if (reason == Reason::kStaleEpoch) {
+      throw StaleEpochError(EpochOf(response.body));
+    }
     throw Error(reason, Verdict::kNotRun,
                 "report status " + std::to_string(response.status));
   }
--- a/packages/standins/include/jasminespar/standins/endpoint_codec.h
+++ b/packages/standins/include/jasminespar/standins/endpoint_codec.h
@@ -16,6 +16,9 @@
 
 namespace jasminespar::standins {
 
+/// @param highest epoch of the cell that the worker has seen.
+[[nodiscard]] http::Response ReportRefusal(Reason reason, const Epoch& highest);
+
 /// @return the sender that the headers name, or nothing when malformed.
 [[nodiscard]] std::optional<Sender> ParseSender(const http::Request& request);
 
--- a/packages/standins/include/jasminespar/standins/endpoint_model.h
+++ b/packages/standins/include/jasminespar/standins/endpoint_model.h
@@ -79,6 +79,9 @@
   /// @return why not, or nothing.
   std::optional<Reason> Renew(const Sender& sender, TimePoint now);
 
+  /// @return the highest epoch seen of the cell; 0.0 when there is none.
+  [[nodiscard]] Epoch HighestEpoch(const CellId& cell) const;
+
   /// @param after 0 for every task known.
   [[nodiscard]] TaskReport Report(std::uint64_t after) const;
 
--- a/packages/standins/src/endpoint_codec.cc
+++ b/packages/standins/src/endpoint_codec.cc
@@ -47,6 +47,12 @@
 
 }  // namespace
 
+http::Response ReportRefusal(Reason reason, const Epoch& highest) {
+  return JsonResponse(StatusOf(reason),
+                      {{"reason", std::string(NameOf(reason))},
+                       {"epoch", FormatEpoch(highest)}});
+}
+
 std::optional<Sender> ParseSender(const http::Request& request) {
   const std::string_view cell =
       http::HeaderOf(request.headers, "Jasminespar-Cell");
--- a/packages/standins/src/endpoint_model.cc
+++ b/packages/standins/src/endpoint_model.cc
@@ -40,6 +40,11 @@
   return std::nullopt;
 }
 
+Epoch EndpointModel::HighestEpoch(const CellId& cell) const {
+  const auto found = cells_.find(cell);
+  return found == cells_.end() ? Epoch{} : found->second.highest;
+}
+
 std::uint64_t EndpointModel::Occupied() const {
   std::uint64_t mask = 0;
   for (const auto& [key, task] : tasks_) {
