--- a/apps/jasmined/main.cc
+++ b/apps/jasmined/main.cc
@@ -1,8 +1,6 @@
 /// @file
 /// jasmined: one instance of the system.
 
-#include <glog/logging.h>
-
 #include <cxxopts.hpp>
 #include <fstream>
 #include <iostream>
@@ -32,19 +30,15 @@
   return settings::ParseDaemonSettings(text.str(), path);
 }
 
-void StartLog(const char* program, const std::string& folder) {
-  FLAGS_logtostderr = folder.empty();
-  if (!folder.empty()) FLAGS_log_dir = folder;
-  google::InitGoogleLogging(program);
-}
-
 int Run(const cxxopts::ParseResult& options, const char* program) {
   const ParsedSettings parsed =
       ReadSettings(options["settings"].as<std::string>());
   if (const auto* faults =
           std::get_if<std::vector<settings::SettingFault>>(&parsed)) {
+    telemetry::StartLogging(program, "");
     for (const settings::SettingFault& fault : *faults) {
-      std::cerr << settings::ToString(fault) << '\n';
+      telemetry::LogEvent(telemetry::Event::kSettingsFault,
+                          {{"fault", settings::ToString(fault)}});
     }
     return kExitSettings;
   }
@@ -57,7 +51,7 @@
     std::cout << "settings are valid\n";
     return kExitOk;
   }
-  StartLog(program, settings.log_folder);
+  telemetry::StartLogging(program, settings.log_folder);
   daemon::Instance instance(settings);
   instance.Run();
   return kExitOk;
--- a/packages/daemon/include/jasminespar/daemon/cell_decider.h
+++ b/packages/daemon/include/jasminespar/daemon/cell_decider.h
@@ -63,6 +63,8 @@
   void ReportCells();
   [[nodiscard]] configuration::CellTopology TopologyOf(const CellId& id) const;
   [[nodiscard]] configuration::CellShare ShareOf(const CellId& id) const;
+  void SplitGuarantees();
+  void ReportGauges(const CellsReported& report);
 
   cell::CellSettings settings_;
   DeciderOutputs outputs_;
@@ -73,6 +75,8 @@
   bool store_available_ = true;
   Cells topology_;
   ConfigurationPtr configuration_;
+  /// Split of the guarantees over the cells; made anew when either changes.
+  std::map<CellId, configuration::CellShare> shares_;
 };
 
 }  // namespace jasminespar::daemon
--- a/packages/daemon/include/jasminespar/daemon/peer_link.h
+++ b/packages/daemon/include/jasminespar/daemon/peer_link.h
@@ -96,6 +96,7 @@
 
   void MarkViewDirty();
   void PublishView();
+  void NoteSuspicions(const membership::View& view);
   void PlanOwnership();
   [[nodiscard]] bool HasSuccessor(const membership::View& view) const;
   void Perform(const std::vector<membership::OwnershipAction>& actions);
@@ -125,6 +126,7 @@
   bool view_dirty_ = false;
   TimePoint last_pull_;
   std::uint32_t owners_told_ = 0;
+  std::set<InstanceId> suspected_;
   std::atomic<std::size_t> held_{0};
 
   std::uint64_t last_connection_ = 0;
--- a/packages/daemon/src/caller_front.cc
+++ b/packages/daemon/src/caller_front.cc
@@ -18,11 +18,6 @@
 
 namespace {
 
-constexpr Duration kFirstBackoff = 20ms;
-constexpr Duration kLongestBackoff = 500ms;
-
-/// The cell answers by the deadline; this is for the way back.
-constexpr Duration kReplySlack = 500ms;
 constexpr Duration kStatusTimeout = 5s;
 constexpr Duration kUnknownConfigurationRetry = 500ms;
 constexpr Duration kNoteTimeout = 15s;
@@ -30,23 +25,6 @@
 constexpr int kMethodNotAllowed = 405;
 constexpr int kUnavailable = 503;
 
-/// Reasons that concern the way to the cell and not the call: another owner
-/// may take it. Asking again under the same key is always safe, as the cell
-/// joins it to what it knows of the call.
-bool ConcernsRouting(Reason reason) {
-  switch (reason) {
-    case Reason::kNoOwner:
-    case Reason::kNotOwner:
-    case Reason::kOwnerUnreachable:
-    case Reason::kRecovering:
-    case Reason::kStaleEpoch:
-    case Reason::kShuttingDown:
-      return true;
-    default:
-      return false;
-  }
-}
-
 Response MakeText(int status, std::string body, const char* type) {
   Response response;
   response.status = status;
@@ -68,12 +46,6 @@
   return value;
 }
 
-asio::awaitable<void> Sleep(asio::io_context& context, Duration span) {
-  asio::steady_timer timer(context, span);
-  boost::system::error_code ignored;
-  co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
-}
-
 }  // namespace
 
 CallerFront::CallerFront(runtime::Duty& duty, const FrontSettings& settings,
@@ -144,10 +116,14 @@
 void CallerFront::On(const ConfigurationChanged& message) {
   configuration_ = message.configuration;
   configuration_known_ = true;
+  metrics_.Set(telemetry::Gauge::kReady, draining_ ? 0 : 1);
+  metrics_.Set(telemetry::Gauge::kConfigurationRevision,
+               static_cast<double>(configuration_->revision.value));
 }
 
 void CallerFront::On(const DrainFront&) {
   draining_ = true;
+  metrics_.Set(telemetry::Gauge::kReady, 0);
   drain_timer_.expires_after(settings_.drain_delay);
   drain_timer_.async_wait([this](const boost::system::error_code& error) {
     if (!error) server_.StopAccepting();
@@ -272,6 +248,7 @@
     co_return Refuse(*refusal);
   }
   if (outputs_.decider.congested() || outputs_.peer.congested()) {
+    metrics_.Count(telemetry::Counter::kRingCongestions);
     co_return Refuse(RefuseFor(Reason::kRingFull, Verdict::kNotRun));
   }
   CallRequest& call = std::get<CallRequest>(parsed);
@@ -285,9 +262,16 @@
   errand.cell = *home;
   errand.deadline = runtime::SteadyNow() + call.time_left;
   errand.op = protocol::SubmitOp{std::move(call)};
+  const TimePoint begun = runtime::SteadyNow();
   cell::CallReply reply = co_await Run(std::move(errand));
+  metrics_.Observe(telemetry::Timing::kCallDuration,
+                   runtime::SteadyNow() - begun);
+  metrics_.Set(telemetry::Gauge::kConnections,
+               static_cast<double>(server_.connections()));
   if (const auto* refusal = std::get_if<Refusal>(&reply)) {
     metrics_.CountRefusal(refusal->reason);
+  } else if (std::holds_alternative<Answer>(reply)) {
+    metrics_.Count(telemetry::Counter::kCallsAnswered);
   }
   co_return front::ToResponse(id, std::move(reply));
 }
@@ -315,135 +299,4 @@
   co_return front::ToResponse(id, std::move(reply));
 }
 
-asio::awaitable<cell::CallReply> CallerFront::Run(Errand first) {
-  auto errand = std::make_shared<Errand>(std::move(first));
-  Duration backoff = kFirstBackoff;
-  while (true) {
-    cell::CallReply reply = co_await Ask(errand);
-    auto* refusal = std::get_if<Refusal>(&reply);
-    if (refusal == nullptr) co_return reply;
-    errand->known = Worst(errand->known, refusal->verdict);
-    refusal->verdict = errand->known;
-    const Duration pause = Jittered(backoff);
-    if (!ConcernsRouting(refusal->reason) ||
-        runtime::SteadyNow() + pause >= errand->deadline) {
-      co_return reply;
-    }
-    metrics_.CountRetry(refusal->reason);
-    UseLocalCell(*errand);
-    co_await Sleep(context_, pause);
-    backoff = std::min(2 * backoff, kLongestBackoff);
-  }
-}
-
-// A data centre that is cut off serves idempotent calls on its own workers;
-// the home cell may run the call too, which idempotence allows.
-void CallerFront::UseLocalCell(Errand& errand) const {
-  const auto* submit = std::get_if<protocol::SubmitOp>(&errand.op);
-  if (submit == nullptr ||
-      submit->request.idempotence != Idempotence::kIdempotent ||
-      submit->request.delivery != Delivery::kWait ||
-      configuration::DataCentreOf(errand.cell) == view_->data_centre) {
-    return;
-  }
-  const membership::CellOwner* owner = view_->FindCell(errand.cell);
-  const membership::Member* member =
-      owner == nullptr ? nullptr : view_->FindMember(owner->owner);
-  if (member != nullptr && member->state == membership::MemberState::kLive) {
-    return;
-  }
-  const auto service =
-      configuration_->services.find(submit->request.key.service);
-  if (service == configuration_->services.end()) return;
-  std::vector<membership::WeightedCell> local = AllowedCells(&service->second);
-  std::erase_if(local, [this](const membership::WeightedCell& cell) {
-    return configuration::DataCentreOf(cell.cell) != view_->data_centre;
-  });
-  const auto cell = membership::HomeCell(submit->request.id, local);
-  if (!cell) return;
-  errand.cell = *cell;
-  metrics_.Count(telemetry::Counter::kCallsSpilled);
-}
-
-asio::awaitable<cell::CallReply> CallerFront::Ask(
-    std::shared_ptr<Errand> errand) {
-  const membership::RouteDecision decision =
-      membership::Route(routing_, *view_, errand->cell, 0);
-  if (const auto* refuse = std::get_if<membership::RefuseRoute>(&decision)) {
-    co_return refuse->refusal;
-  }
-  const Duration left = errand->deadline - runtime::SteadyNow();
-  if (auto* submit = std::get_if<protocol::SubmitOp>(&errand->op)) {
-    submit->request.time_left = std::max(left, Duration(1ms));
-  }
-  const std::uint64_t number = calls_.Open();
-  Send(decision, *errand, number);
-  auto reply = co_await calls_.Wait(number, left + kReplySlack);
-  const Asked asked = std::move(asked_[number]);
-  asked_.erase(number);
-  if (reply) co_return std::move(*reply);
-  if (asked.peer) {
-    outputs_.peer.Send(ForwardAbandoned{*asked.peer, number});
-  } else {
-    outputs_.decider.Send(
-        CellInput{asked.cell, std::nullopt,
-                  cell::ForgetToken{cell::ReplyToken{0, number}}});
-  }
-  co_return RefuseFor(Reason::kDeadlinePassed, Verdict::kMayHaveRun);
-}
-
-void CallerFront::Send(const membership::RouteDecision& decision,
-                       const Errand& errand, std::uint64_t number) {
-  if (const auto* forward = std::get_if<membership::Forward>(&decision)) {
-    asked_[number] = {forward->cell, forward->epoch, forward->instance};
-    outputs_.peer.Send(CallForwarded{
-        forward->instance,
-        protocol::ForwardedCall{number, forward->cell, 1, errand.op}});
-    return;
-  }
-  const auto& here = std::get<membership::ServeHere>(decision);
-  asked_[number] = {here.cell, here.epoch, std::nullopt};
-  outputs_.decider.Send(
-      CellInput{here.cell, std::nullopt,
-                ToInput(cell::ReplyToken{0, number}, errand.op)});
-}
-
-std::vector<membership::WeightedCell> CallerFront::AllowedCells(
-    const configuration::Service* service) const {
-  std::vector<membership::WeightedCell> allowed;
-  for (const configuration::CellTopology& cell : *cells_) {
-    if (service != nullptr && !service->data_centres.empty() &&
-        std::find(service->data_centres.begin(), service->data_centres.end(),
-                  configuration::DataCentreOf(cell.id)) ==
-            service->data_centres.end()) {
-      continue;
-    }
-    // Listed workers count whatever their state: a home that moved with every
-    // failure would let two cells hold the same key.
-    double weight = 0;
-    for (const configuration::Worker& worker : cell.workers) {
-      weight += worker.accelerators;
-    }
-    allowed.push_back({cell.id, weight});
-  }
-  return allowed;
-}
-
-std::vector<CellId> CallerFront::HomesOf(const CallId& id) const {
-  std::vector<CellId> homes;
-  for (const auto& [service_id, service] : configuration_->services) {
-    const auto home = membership::HomeCell(id, AllowedCells(&service));
-    if (home && std::find(homes.begin(), homes.end(), *home) == homes.end()) {
-      homes.push_back(*home);
-    }
-  }
-  return homes;
-}
-
-Duration CallerFront::Jittered(Duration span) {
-  std::uniform_int_distribution<Duration::rep> spread(span.count() / 2,
-                                                      span.count());
-  return Duration(spread(random_));
-}
-
 }  // namespace jasminespar::daemon
--- a/packages/daemon/src/cell_decider.cc
+++ b/packages/daemon/src/cell_decider.cc
@@ -113,6 +113,7 @@
     Reply(token, refusal);
   }
   cells_.erase(found);
+  metrics_.Count(telemetry::Counter::kCellsLost);
   outputs_.endpoint.Send(CellDropped{message.cell});
   telemetry::LogEvent(telemetry::Event::kCellLost,
                       {{"cell", message.cell.value},
@@ -141,6 +142,7 @@
 
 void CellDecider::On(const StoreReached& message) {
   store_available_ = message.available;
+  metrics_.Set(telemetry::Gauge::kStoreAvailable, message.available ? 1 : 0);
   for (auto& [id, owned] : cells_) {
     Feed(id, owned, cell::StoreChanged{store_available_});
   }
@@ -148,6 +150,7 @@
 
 void CellDecider::On(const CellsChanged& message) {
   topology_ = message.cells;
+  SplitGuarantees();
   for (auto& [id, owned] : cells_) {
     configuration::CellTopology topology = TopologyOf(id);
     outputs_.endpoint.Send(TopologyReplaced{topology});
@@ -158,6 +161,7 @@
 
 void CellDecider::On(const ConfigurationChanged& message) {
   configuration_ = message.configuration;
+  SplitGuarantees();
   for (auto& [id, owned] : cells_) {
     Feed(id, owned, cell::ShareChanged{ShareOf(id)});
   }
@@ -165,8 +169,10 @@
 
 void CellDecider::Feed(const CellId& id, OwnedCell& owned, cell::Input input) {
   const bool was_recovering = owned.cell.recovering();
-  std::vector<cell::Effect> effects =
-      owned.cell.Handle(std::move(input), PresentTime());
+  const cell::Now now = PresentTime();
+  std::vector<cell::Effect> effects = owned.cell.Handle(std::move(input), now);
+  metrics_.Observe(telemetry::Timing::kDecision,
+                   runtime::SteadyNow() - now.steady);
   for (cell::Effect& effect : effects) Perform(id, owned, std::move(effect));
   if (was_recovering && !owned.cell.recovering()) {
     telemetry::LogEvent(telemetry::Event::kCellRecovered, {{"cell", id.value}});
@@ -256,6 +262,7 @@
     cell.load = owned.cell.Summary(now);
     report.cells.push_back(std::move(cell));
   }
+  ReportGauges(report);
   outputs_.peer.Send(std::move(report));
   report_timer_.expires_after(kReportInterval);
   report_timer_.async_wait([this](const boost::system::error_code& error) {
@@ -263,6 +270,25 @@
   });
 }
 
+void CellDecider::ReportGauges(const CellsReported& report) {
+  scheduling::LoadSummary sum;
+  for (const membership::OwnedCell& cell : report.cells) {
+    sum.free_accelerators += cell.load.free_accelerators;
+    sum.total_accelerators += cell.load.total_accelerators;
+    sum.waiting_jobs += cell.load.waiting_jobs;
+    sum.running_jobs += cell.load.running_jobs;
+    sum.largest_free_shape =
+        std::max(sum.largest_free_shape, cell.load.largest_free_shape);
+  }
+  using telemetry::Gauge;
+  metrics_.Set(Gauge::kCellsOwned, static_cast<double>(report.cells.size()));
+  metrics_.Set(Gauge::kFreeAccelerators, sum.free_accelerators);
+  metrics_.Set(Gauge::kTotalAccelerators, sum.total_accelerators);
+  metrics_.Set(Gauge::kWaitingCalls, sum.waiting_jobs);
+  metrics_.Set(Gauge::kRunningCalls, sum.running_jobs);
+  metrics_.Set(Gauge::kLargestFreeShape, sum.largest_free_shape);
+}
+
 configuration::CellTopology CellDecider::TopologyOf(const CellId& id) const {
   for (const configuration::CellTopology& cell : *topology_) {
     if (cell.id == id) return cell;
@@ -271,14 +297,21 @@
 }
 
 configuration::CellShare CellDecider::ShareOf(const CellId& id) const {
+  const auto found = shares_.find(id);
+  return found == shares_.end() ? configuration::CellShare{} : found->second;
+}
+
+void CellDecider::SplitGuarantees() {
   configuration::SplitResult split =
-      configuration::Split(*configuration_, *topology_, {});
+      configuration::Split(*configuration_, *topology_, shares_);
+  shares_ = std::move(split.shares);
   for (const configuration::UnplacedGuarantee& unplaced : split.unplaced) {
     telemetry::LogEvent(telemetry::Event::kGuaranteeInfeasible,
                         {{"account", unplaced.account.value},
                          {"count", std::to_string(unplaced.missing.count)}});
   }
-  return std::move(split.shares[id]);
+  metrics_.Set(telemetry::Gauge::kInfeasibleGuarantees,
+               static_cast<double>(split.unplaced.size()));
 }
 
 }  // namespace jasminespar::daemon
--- a/packages/daemon/src/cell_journal.cc
+++ b/packages/daemon/src/cell_journal.cc
@@ -284,6 +284,8 @@
   slot_versions_[slot] = version;
   metrics_.Count(telemetry::Counter::kJournalWrites);
   metrics_.Count(telemetry::Counter::kJournalRecords, batch.records.size());
+  metrics_.Set(telemetry::Gauge::kJournalPendingBytes,
+               static_cast<double>(unwritten_bytes_));
   metrics_.Observe(telemetry::Timing::kJournalWrite,
                    runtime::SteadyNow() - begun);
   handlers_.on_durable(through);
--- a/packages/daemon/src/endpoint_link.cc
+++ b/packages/daemon/src/endpoint_link.cc
@@ -12,6 +12,7 @@
 #include "jasminespar/core/error.h"
 #include "jasminespar/core/overloaded.h"
 #include "jasminespar/runtime/clock.h"
+#include "jasminespar/runtime/sleep.h"
 #include "jasminespar/telemetry/events.h"
 
 namespace jasminespar::daemon {
@@ -27,12 +28,6 @@
 /// Added to the lease, as the worker's clock may run slower than ours.
 constexpr Duration kLeaseMargin = 1s;
 
-asio::awaitable<void> Sleep(asio::io_context& context, Duration span) {
-  asio::steady_timer timer(context, span);
-  boost::system::error_code ignored;
-  co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
-}
-
 cell::TaskRef TaskOf(const TaskEffect& effect) {
   return std::visit(
       Overloaded{[](const cell::OrderTask& order) { return order.order.task; },
@@ -136,7 +131,7 @@
       continue;
     }
     Lapse(*subscription);
-    co_await Sleep(context_, backoff);
+    co_await runtime::Sleep(context_, backoff);
     backoff = std::min(2 * backoff, kLongestBackoff);
   }
 }
@@ -198,7 +193,7 @@
       metrics_.CountRetry(error.reason());
     }
     if (!state.active) co_return;
-    co_await Sleep(context_, kFirstBackoff * (1 << i));
+    co_await runtime::Sleep(context_, kFirstBackoff * (1 << i));
     // While the worker cannot be reached, its answer is not known to be lost.
     if (unreachable && !state.lapsed) i = std::max(i - 1, -1);
   }
--- /dev/null
+++ b/packages/daemon/src/peer_calls.cc
@@ -0,0 +1,188 @@
+/// @file
+/// Forwarded calls of peer_link: connections to peers, what is asked of them
+/// and what they ask.
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <utility>
+
+#include "jasminespar/core/overloaded.h"
+#include "jasminespar/daemon/peer_link.h"
+#include "jasminespar/runtime/clock.h"
+
+namespace jasminespar::daemon {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+// Forwarded calls, this instance asking.
+
+PeerLink::ConnectionPtr PeerLink::MakeConnection() {
+  PeerHandlers handlers;
+  handlers.on_message = [this](std::uint64_t connection,
+                               protocol::PeerMessage message) {
+    OnPeerMessage(connection, std::move(message));
+  };
+  handlers.on_closed = [this](std::uint64_t connection) {
+    OnClosed(connection);
+  };
+  return std::make_shared<PeerConnection>(context_, ++last_connection_,
+                                          std::move(handlers));
+}
+
+PeerLink::Outbound* PeerLink::OutboundTo(const InstanceId& instance) {
+  Outbound& outbound = outbound_[instance];
+  if (outbound.connection != nullptr && !outbound.connection->closed()) {
+    return &outbound;
+  }
+  FailAwaiting(outbound);
+  const membership::View view = members_.ViewAt(runtime::SteadyNow());
+  const membership::Member* member = view.FindMember(instance);
+  if (member == nullptr) {
+    outbound_.erase(instance);
+    return nullptr;
+  }
+  outbound.connection = MakeConnection();
+  outbound.connection->Connect(member->peer, settings_.connect_timeout);
+  return &outbound;
+}
+
+void PeerLink::On(CallForwarded message) {
+  const std::uint64_t number = message.call.number;
+  Outbound* outbound = OutboundTo(message.owner);
+  if (outbound != nullptr &&
+      outbound->connection->Send(std::move(message.call))) {
+    outbound->awaiting.insert(number);
+    return;
+  }
+  Refusal refusal;
+  refusal.reason = Reason::kOwnerUnreachable;
+  outputs_.front.Send(CallReplied{number, refusal});
+}
+
+void PeerLink::On(const ForwardAbandoned& message) {
+  const auto found = outbound_.find(message.owner);
+  if (found == outbound_.end()) return;
+  if (found->second.awaiting.erase(message.number) == 0) return;
+  found->second.connection->Send(protocol::AbandonedCall{message.number});
+}
+
+void PeerLink::FailAwaiting(Outbound& outbound) {
+  const bool sent =
+      outbound.connection != nullptr && outbound.connection->ever_open();
+  for (const std::uint64_t number : std::exchange(outbound.awaiting, {})) {
+    Refusal refusal;
+    refusal.reason = Reason::kOwnerUnreachable;
+    refusal.verdict = sent ? Verdict::kMayHaveRun : Verdict::kNotRun;
+    outputs_.front.Send(CallReplied{number, refusal});
+  }
+}
+
+void PeerLink::CloseSuspected(const membership::View& view) {
+  for (auto& [instance, outbound] : outbound_) {
+    const membership::Member* member = view.FindMember(instance);
+    const bool gone = member == nullptr ||
+                      member->state == membership::MemberState::kSuspected;
+    // A cut link may stay open for minutes by itself.
+    if (gone && outbound.connection != nullptr) outbound.connection->Close();
+  }
+}
+
+// Forwarded calls, this instance asked.
+
+asio::awaitable<void> PeerLink::AcceptPeers() {
+  while (true) {
+    boost::system::error_code error;
+    tcp::socket socket = co_await acceptor_.async_accept(
+        asio::redirect_error(asio::use_awaitable, error));
+    if (error == asio::error::operation_aborted) co_return;
+    if (error) continue;
+    ConnectionPtr connection = MakeConnection();
+    inbound_[connection->number()] = connection;
+    connection->Adopt(std::move(socket));
+  }
+}
+
+void PeerLink::OnPeerMessage(std::uint64_t connection,
+                             protocol::PeerMessage message) {
+  std::visit(
+      Overloaded{
+          [&](protocol::ForwardedCall& call) {
+            OnForwardedCall(connection, std::move(call));
+          },
+          [&](protocol::ForwardedReply& reply) {
+            for (auto& [instance, outbound] : outbound_) {
+              if (outbound.connection->number() != connection) continue;
+              if (outbound.awaiting.erase(reply.number) == 0) return;
+              outputs_.front.Send(
+                  CallReplied{reply.number, std::move(reply.reply)});
+            }
+          },
+          [&](const protocol::AbandonedCall& abandoned) {
+            // The cell is not named: the token is, and it is enough.
+            for (const CellId& cell : cell_ids_) {
+              outputs_.decider.Send(
+                  CellInput{cell, std::nullopt,
+                            cell::ForgetToken{{connection, abandoned.number}}});
+            }
+          },
+          [&](const protocol::NotesRequest& request) {
+            outputs_.platform.Send(
+                PeerNotesRequested{connection, request.after});
+          },
+          [&](protocol::Notes& notes) {
+            outputs_.platform.Send(NotesReceived{std::move(notes)});
+          },
+          [&](const protocol::WorkersRequest&) { SendWorkers(connection); },
+          [&](protocol::Workers& workers) {
+            outputs_.platform.Send(WorkersReceived{std::move(workers.workers)});
+          },
+      },
+      message);
+}
+
+void PeerLink::SendWorkers(std::uint64_t connection) {
+  const auto found = inbound_.find(connection);
+  if (found == inbound_.end() || cells_ == nullptr) return;
+  protocol::Workers message;
+  for (const configuration::CellTopology& cell : *cells_) {
+    message.workers.insert(message.workers.end(), cell.workers.begin(),
+                           cell.workers.end());
+  }
+  found->second->Send(std::move(message));
+}
+
+void PeerLink::OnForwardedCall(std::uint64_t connection,
+                               protocol::ForwardedCall call) {
+  const cell::ReplyToken token{connection, call.number};
+  outputs_.decider.Send(
+      CellInput{call.cell, std::nullopt, ToInput(token, std::move(call.op))});
+}
+
+void PeerLink::On(PeerReplied message) {
+  const auto found = inbound_.find(message.token.origin);
+  if (found == inbound_.end()) return;  // The asker has gone or will ask again.
+  protocol::ForwardedReply reply{message.token.number,
+                                 std::move(message.reply)};
+  if (!found->second->Send(std::move(reply))) found->second->Close();
+}
+
+void PeerLink::On(PeerNotesFound message) {
+  const auto found = inbound_.find(message.connection);
+  if (found == inbound_.end()) return;
+  found->second->Send(std::move(message.notes));
+}
+
+void PeerLink::OnClosed(std::uint64_t connection) {
+  inbound_.erase(connection);
+  for (auto& [instance, outbound] : outbound_) {
+    if (outbound.connection != nullptr &&
+        outbound.connection->number() == connection) {
+      FailAwaiting(outbound);
+    }
+  }
+}
+
+}  // namespace jasminespar::daemon
--- a/packages/daemon/src/platform_link.cc
+++ b/packages/daemon/src/platform_link.cc
@@ -12,6 +12,7 @@
 #include "jasminespar/core/overloaded.h"
 #include "jasminespar/protocol/ownership_row.h"
 #include "jasminespar/runtime/clock.h"
+#include "jasminespar/runtime/sleep.h"
 #include "jasminespar/telemetry/events.h"
 
 namespace jasminespar::daemon {
@@ -31,12 +32,6 @@
   return {entry.id, entry.data_centre, entry.caller, entry.peer, entry.state};
 }
 
-asio::awaitable<void> Sleep(asio::io_context& context, Duration span) {
-  asio::steady_timer timer(context, span);
-  boost::system::error_code ignored;
-  co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
-}
-
 }  // namespace
 
 PlatformLink::PlatformLink(runtime::Duty& duty,
@@ -78,7 +73,7 @@
     } catch (const Error&) {
       metrics_.Count(telemetry::Counter::kStoreErrors);
     }
-    co_await Sleep(context_, settings_.list_poll_interval);
+    co_await runtime::Sleep(context_, settings_.list_poll_interval);
   }
 }
 
@@ -93,7 +88,8 @@
       available = false;
     }
     NoteStore(available);
-    co_await Sleep(context_, available ? kProbeInterval : kOutageProbe);
+    co_await runtime::Sleep(context_,
+                            available ? kProbeInterval : kOutageProbe);
   }
 }
 
