--- a/packages/standins/src/promises.cc
+++ b/packages/standins/src/promises.cc
@@ -110,6 +110,19 @@
     }
   }
 
+  /// @return the workers' records of the call, for whoever looks for the cause.
+  [[nodiscard]] std::string RunsText() const {
+    std::string text;
+    for (const ObservedRun* run : runs_) {
+      text += "; attempt " + std::to_string(run->attempt) + " worker " +
+              std::to_string(run->worker) + " rank " +
+              std::to_string(run->rank) + " of " +
+              std::to_string(run->gang_workers) + " " +
+              std::string(RowOf(cell::kTaskStateNames, run->state).name);
+    }
+    return text;
+  }
+
   void CheckAnswerRan() {
     if (record_.outcome != CallerOutcome::kAnswered) return;
     const bool ran = std::any_of(attempts_.begin(), attempts_.end(),
@@ -117,7 +130,7 @@
                                    return attempt.second.IsComplete() &&
                                           attempt.second.succeeded.contains(0);
                                  });
-    if (!ran) Add(Promise::kAnswerRan, "no whole gang succeeded");
+    if (!ran) Add(Promise::kAnswerRan, "no whole gang succeeded" + RunsText());
   }
 
   void CheckWholeGang() {
