--- a/benchmark/policy.cc
+++ b/benchmark/policy.cc
@@ -46,7 +46,7 @@
                             .learn_run_times = false,
                             .give_way_wait = Duration{},
                             .give_way_min_run = 10s,
-                            .reclaim_patience = Duration{}};
+                            .reclaim_delay = Duration{}};
   PolicySettings attained;
   attained.admission = AdmitUntilFull{};
   attained.queue = rule;
@@ -55,15 +55,15 @@
   learned.queue = rule;
   PolicySettings refusing = learned;
   refusing.admission = RefuseUnreachable{};
-  PolicySettings patient = refusing;
-  rule.reclaim_patience = 300ms;
-  patient.queue = rule;
-  PolicySettings giving_way = patient;
+  PolicySettings delays = refusing;
+  rule.reclaim_delay = 300ms;
+  delays.queue = rule;
+  PolicySettings giving_way = delays;
   rule.give_way_wait = 500ms;
   giving_way.queue = rule;
   return {{"fcfs_first_fit", first_fit},   {"backfill_best_fit", backfill},
           {"least_attained", attained},    {"with_learning", learned},
-          {"with_refusal", refusing},      {"with_patience", patient},
+          {"with_refusal", refusing},      {"with_patience", delays},
           {"with_giving_way", giving_way}, {"shipped", PolicySettings{}}};
 }
 
--- a/packages/cell/src/admission.cc
+++ b/packages/cell/src/admission.cc
@@ -64,7 +64,8 @@
     call.request.delivery = Delivery::kCollect;
     Accept(context, call);
   }
-  if (std::exchange(call.parked, false) && waits && !context.recovering) {
+  if (std::exchange(call.awaits_caller, false) && waits &&
+      !context.recovering) {
     OfferAgain(context, call);
   }
   Wait(context, call, submit.token, submit.request.delivery);
--- a/packages/cell/src/call.h
+++ b/packages/cell/src/call.h
@@ -48,7 +48,7 @@
   /// Taken over from an earlier owner for a caller that waits on its
   /// connection: started only when that caller asks again, as the earlier
   /// owner may have refused it without a record.
-  bool parked = false;
+  bool awaits_caller = false;
 
   /// Of the latest attempt, when an earlier owner recorded it and its end is
   /// not known yet.
--- a/packages/cell/src/recovery.cc
+++ b/packages/cell/src/recovery.cc
@@ -73,7 +73,7 @@
   call.arrival =
       std::min(context.now.steady, call.deadline - call.request.time_left);
   call.attempt = replayed.attempt;
-  call.parked = call.request.delivery == Delivery::kWait;
+  call.awaits_caller = call.request.delivery == Delivery::kWait;
   if (replayed.ended) {
     call.phase = CallPhase::kEnded;
     call.outcome = std::move(replayed.ended->outcome);
--- a/packages/cell/src/work_queue.cc
+++ b/packages/cell/src/work_queue.cc
@@ -46,7 +46,7 @@
 
 void OfferAgain(Context& context, Call& call) {
   call.enqueue_at.reset();
-  if (call.parked) {
+  if (call.awaits_caller) {
     Rearm(context, call);
     return;
   }
--- a/packages/daemon/include/jasminespar/daemon/caller_front.h
+++ b/packages/daemon/include/jasminespar/daemon/caller_front.h
@@ -58,7 +58,7 @@
 
  private:
   /// A call on its way to its cell.
-  struct Errand {
+  struct RoutedCall {
     protocol::CallOp op;
     CellId cell;
     TimePoint deadline;
@@ -91,10 +91,11 @@
   [[nodiscard]] http::Response ServeStatus(std::string_view path) const;
   [[nodiscard]] http::Response Refuse(const Refusal& refusal);
 
-  boost::asio::awaitable<cell::CallReply> Run(Errand errand);
-  void UseLocalCell(Errand& errand) const;
-  boost::asio::awaitable<cell::CallReply> Ask(std::shared_ptr<Errand> errand);
-  void Send(const membership::RouteDecision& decision, const Errand& errand,
+  boost::asio::awaitable<cell::CallReply> Run(RoutedCall routed);
+  void UseLocalCell(RoutedCall& routed) const;
+  boost::asio::awaitable<cell::CallReply> Ask(
+      std::shared_ptr<RoutedCall> routed);
+  void Send(const membership::RouteDecision& decision, const RoutedCall& routed,
             std::uint64_t number);
   [[nodiscard]] std::vector<membership::WeightedCell> AllowedCells(
       const configuration::Service* service) const;
--- a/packages/daemon/src/call_routing.cc
+++ b/packages/daemon/src/call_routing.cc
@@ -50,22 +50,22 @@
 
 }  // namespace
 
-asio::awaitable<cell::CallReply> CallerFront::Run(Errand first) {
-  auto errand = std::make_shared<Errand>(std::move(first));
+asio::awaitable<cell::CallReply> CallerFront::Run(RoutedCall first) {
+  auto routed = std::make_shared<RoutedCall>(std::move(first));
   Duration backoff = kFirstBackoff;
   while (true) {
-    cell::CallReply reply = co_await Ask(errand);
+    cell::CallReply reply = co_await Ask(routed);
     auto* refusal = std::get_if<Refusal>(&reply);
     if (refusal == nullptr) co_return reply;
-    errand->known = Worst(errand->known, refusal->verdict);
-    refusal->verdict = errand->known;
+    routed->known = Worst(routed->known, refusal->verdict);
+    refusal->verdict = routed->known;
     const Duration pause = Jittered(backoff);
     if (!ConcernsRouting(refusal->reason) ||
-        runtime::SteadyNow() + pause >= errand->deadline) {
+        runtime::SteadyNow() + pause >= routed->deadline) {
       co_return reply;
     }
     metrics_.CountRetry(refusal->reason);
-    UseLocalCell(*errand);
+    UseLocalCell(*routed);
     co_await runtime::Sleep(context_, pause);
     backoff = std::min(2 * backoff, kLongestBackoff);
   }
@@ -73,15 +73,15 @@
 
 // A data centre that is cut off serves idempotent calls on its own workers;
 // the home cell may run the call too, which idempotence allows.
-void CallerFront::UseLocalCell(Errand& errand) const {
-  const auto* submit = std::get_if<protocol::SubmitOp>(&errand.op);
+void CallerFront::UseLocalCell(RoutedCall& routed) const {
+  const auto* submit = std::get_if<protocol::SubmitOp>(&routed.op);
   if (submit == nullptr ||
       submit->request.idempotence != Idempotence::kIdempotent ||
       submit->request.delivery != Delivery::kWait ||
-      configuration::DataCentreOf(errand.cell) == view_->data_centre) {
+      configuration::DataCentreOf(routed.cell) == view_->data_centre) {
     return;
   }
-  const membership::CellOwner* owner = view_->FindCell(errand.cell);
+  const membership::CellOwner* owner = view_->FindCell(routed.cell);
   const membership::Member* member =
       owner == nullptr ? nullptr : view_->FindMember(owner->owner);
   if (member != nullptr && member->state == membership::MemberState::kLive) {
@@ -96,23 +96,23 @@
   });
   const auto cell = membership::HomeCell(submit->request.id, local);
   if (!cell) return;
-  errand.cell = *cell;
+  routed.cell = *cell;
   metrics_.Count(telemetry::Counter::kCallsSpilled);
 }
 
 asio::awaitable<cell::CallReply> CallerFront::Ask(
-    std::shared_ptr<Errand> errand) {
+    std::shared_ptr<RoutedCall> routed) {
   const membership::RouteDecision decision =
-      membership::Route(routing_, *view_, errand->cell, 0);
+      membership::Route(routing_, *view_, routed->cell, 0);
   if (const auto* refuse = std::get_if<membership::RefuseRoute>(&decision)) {
     co_return refuse->refusal;
   }
-  const Duration left = errand->deadline - runtime::SteadyNow();
-  if (auto* submit = std::get_if<protocol::SubmitOp>(&errand->op)) {
+  const Duration left = routed->deadline - runtime::SteadyNow();
+  if (auto* submit = std::get_if<protocol::SubmitOp>(&routed->op)) {
     submit->request.time_left = std::max(left, Duration(1ms));
   }
   const std::uint64_t number = calls_.Open();
-  Send(decision, *errand, number);
+  Send(decision, *routed, number);
   auto reply = co_await calls_.Wait(number, left + kReplySlack);
   const Asked asked = std::move(asked_[number]);
   asked_.erase(number);
@@ -128,20 +128,20 @@
 }
 
 void CallerFront::Send(const membership::RouteDecision& decision,
-                       const Errand& errand, std::uint64_t number) {
+                       const RoutedCall& routed, std::uint64_t number) {
   if (const auto* forward = std::get_if<membership::Forward>(&decision)) {
     asked_[number] = {forward->cell, forward->epoch, forward->instance};
     metrics_.Count(telemetry::Counter::kCallsForwarded);
     outputs_.peer.Send(CallForwarded{
         forward->instance,
-        protocol::ForwardedCall{number, forward->cell, 1, errand.op}});
+        protocol::ForwardedCall{number, forward->cell, 1, routed.op}});
     return;
   }
   const auto& here = std::get<membership::ServeHere>(decision);
   asked_[number] = {here.cell, here.epoch, std::nullopt};
   outputs_.decider.Send(
       CellInput{here.cell, std::nullopt,
-                ToInput(cell::ReplyToken{0, number}, errand.op)});
+                ToInput(cell::ReplyToken{0, number}, routed.op)});
 }
 
 std::vector<membership::WeightedCell> CallerFront::AllowedCells(
--- a/packages/daemon/src/caller_front.cc
+++ b/packages/daemon/src/caller_front.cc
@@ -258,12 +258,12 @@
   if (!home) {
     co_return Refuse(RefuseFor(Reason::kNoOwner, Verdict::kNotRun));
   }
-  Errand errand;
-  errand.cell = *home;
-  errand.deadline = runtime::SteadyNow() + call.time_left;
-  errand.op = protocol::SubmitOp{std::move(call)};
+  RoutedCall routed;
+  routed.cell = *home;
+  routed.deadline = runtime::SteadyNow() + call.time_left;
+  routed.op = protocol::SubmitOp{std::move(call)};
   const TimePoint begun = runtime::SteadyNow();
-  cell::CallReply reply = co_await Run(std::move(errand));
+  cell::CallReply reply = co_await Run(std::move(routed));
   metrics_.Observe(telemetry::Timing::kCallDuration,
                    runtime::SteadyNow() - begun);
   metrics_.Set(telemetry::Gauge::kConnections,
@@ -282,17 +282,17 @@
       std::string(http::HeaderOf(request.headers, "Jasminespar-Account"))};
   cell::CallReply reply = RefuseFor(Reason::kNotFound, Verdict::kMayHaveRun);
   for (const CellId& home : HomesOf(id)) {
-    Errand errand;
-    errand.cell = home;
-    errand.deadline = runtime::SteadyNow() + kStatusTimeout;
+    RoutedCall routed;
+    routed.cell = home;
+    routed.deadline = runtime::SteadyNow() + kStatusTimeout;
     if (request.method == "DELETE") {
-      errand.op = protocol::CancelOp{id, account};
+      routed.op = protocol::CancelOp{id, account};
     } else if (request.method == "GET") {
-      errand.op = protocol::LookUpOp{id, account};
+      routed.op = protocol::LookUpOp{id, account};
     } else {
       co_return MakeText(kMethodNotAllowed, "", "text/plain");
     }
-    reply = co_await Run(std::move(errand));
+    reply = co_await Run(std::move(routed));
     const auto* refusal = std::get_if<Refusal>(&reply);
     if (refusal == nullptr || refusal->reason != Reason::kNotFound) break;
   }
--- a/packages/daemon/src/peer_link.cc
+++ b/packages/daemon/src/peer_link.cc
@@ -25,7 +25,7 @@
 constexpr Duration kPullInterval = 100ms;
 
 template <typename Endpoint>
-Endpoint ToEndpointOf(const configuration::Address& address) {
+Endpoint ToSocketAddress(const configuration::Address& address) {
   return {asio::ip::make_address(address.host), address.port};
 }
 
@@ -42,8 +42,8 @@
                settings.incarnation),
       provisional_(membership::ProvisionalSettings{}, settings.self.id,
                    settings.incarnation),
-      udp_(context_, ToEndpointOf<udp::endpoint>(settings.listen)),
-      acceptor_(context_, ToEndpointOf<tcp::endpoint>(settings.listen)),
+      udp_(context_, ToSocketAddress<udp::endpoint>(settings.listen)),
+      acceptor_(context_, ToSocketAddress<tcp::endpoint>(settings.listen)),
       beat_timer_(context_),
       view_timer_(context_) {}
 
@@ -118,8 +118,8 @@
   const std::string bytes = protocol::Encode(heartbeat);
   for (const membership::Peer& peer : members_.Peers(now)) {
     boost::system::error_code ignored;  // A lost heartbeat is an ordinary one.
-    udp_.send_to(asio::buffer(bytes), ToEndpointOf<udp::endpoint>(peer.address),
-                 0, ignored);
+    udp_.send_to(asio::buffer(bytes),
+                 ToSocketAddress<udp::endpoint>(peer.address), 0, ignored);
   }
   PlanOwnership();
   PublishView();
--- a/packages/scheduling/include/jasminespar/scheduling/policy.h
+++ b/packages/scheduling/include/jasminespar/scheduling/policy.h
@@ -41,7 +41,7 @@
   Duration give_way_min_run = 5s;
   /// How long a guaranteed job waits for accelerators to come free before
   /// borrowed work is reclaimed for it. It goes before borrowers meanwhile.
-  Duration reclaim_patience = 300ms;
+  Duration reclaim_delay = 300ms;
 };
 
 /// Number of levels of attained service.
--- a/packages/scheduling/src/decide.cc
+++ b/packages/scheduling/src/decide.cc
@@ -125,15 +125,15 @@
         allocator_.AllocateGuaranteed(request, ReclaimRule::kFreeOnly);
     if (allocated) return allocated;
   }
-  const bool patient = IsPatient(jobs_.at(job)) &&
-                       now < jobs_.at(job).job.arrival + reclaim_patience_;
-  if (guaranteed && !patient) {
+  const bool delays = DelaysReclaim(jobs_.at(job)) &&
+                      now < jobs_.at(job).job.arrival + reclaim_delay_;
+  if (guaranteed && !delays) {
     auto allocated =
         allocator_.AllocateGuaranteed(request, ReclaimRule::kMayReclaim);
     if (allocated) return allocated;
   }
   // As a borrower it could be reclaimed although its guarantee has room.
-  if (guaranteed && patient) return std::nullopt;
+  if (guaranteed && delays) return std::nullopt;
   if (!misses_.Contains(request)) {
     if (auto allocated = allocator_.AllocateSpare(request)) return allocated;
     misses_.Add(request);
--- a/packages/scheduling/src/least_attained.cc
+++ b/packages/scheduling/src/least_attained.cc
@@ -73,7 +73,7 @@
                                   ? (now - record.job.arrival) / policy.ageing
                                   : 0;
     // Without patience a guaranteed job reclaims at once and needs no lead.
-    const bool borrows = reclaim_patience_ > Duration{} &&
+    const bool borrows = reclaim_delay_ > Duration{} &&
                          !HasGuaranteeRoom(key.account, key.shape);
     order.push(
         Entry{Rank{key.priority, borrows, key.level - aged,
--- a/packages/scheduling/src/scheduler_state.cc
+++ b/packages/scheduling/src/scheduler_state.cc
@@ -30,10 +30,10 @@
       policy);
 }
 
-Duration PatienceOf(const QueuePolicy& policy) {
+Duration ReclaimDelayOf(const QueuePolicy& policy) {
   return std::visit(Overloaded{
                         [](const LeastAttainedService& attained) {
-                          return attained.reclaim_patience;
+                          return attained.reclaim_delay;
                         },
                         [](const auto&) { return Duration{}; },
                     },
@@ -51,7 +51,7 @@
       health_(HealthSettings{settings.quarantine_failures,
                              settings.quarantine_time,
                              settings.poison_failures}),
-      reclaim_patience_(PatienceOf(settings.queue)) {}
+      reclaim_delay_(ReclaimDelayOf(settings.queue)) {}
 
 AccountIndex Scheduler::State::AccountOf(const ClientAccountId& id) {
   const auto next = static_cast<AccountIndex>(accounts_.size());
@@ -107,9 +107,9 @@
   if (!returned.empty()) NoteFreed();
 }
 
-bool Scheduler::State::IsPatient(const JobRecord& record) const {
+bool Scheduler::State::DelaysReclaim(const JobRecord& record) const {
   // A longer job must not run as a borrower while its guarantee has room.
-  return reclaim_patience_ > Duration{} && record.level == 0;
+  return reclaim_delay_ > Duration{} && record.level == 0;
 }
 
 void Scheduler::State::SetTimers(JobIndex job) {
@@ -130,8 +130,8 @@
   };
   set(settings_.reservation_wait);
   if (policy.give_way_wait > Duration{}) set(policy.give_way_wait);
-  if (IsPatient(record) && accounts_[record.account].has_guarantee) {
-    set(reclaim_patience_);
+  if (DelaysReclaim(record) && accounts_[record.account].has_guarantee) {
+    set(reclaim_delay_);
   }
 }
 
--- a/packages/scheduling/src/scheduler_state.h
+++ b/packages/scheduling/src/scheduler_state.h
@@ -138,7 +138,7 @@
   void SetTimers(const LeastAttainedService& policy, JobIndex job);
   void TakeTimers(TimePoint now);
   [[nodiscard]] bool IsStale(const Timer& timer) const;
-  [[nodiscard]] bool IsPatient(const JobRecord& record) const;
+  [[nodiscard]] bool DelaysReclaim(const JobRecord& record) const;
   void Charge(JobIndex job);
   void Discharge(JobIndex job);
 
@@ -160,7 +160,7 @@
   std::priority_queue<Timer, std::vector<Timer>, std::greater<>> timers_;
   bool freed_ = true;       ///< Accelerators or rights changed since.
   bool full_pass_ = false;  ///< Every bucket is looked at in this pass.
-  Duration reclaim_patience_{};
+  Duration reclaim_delay_{};
   TimePoint last_give_way_;
   std::vector<JobIndex> running_;  ///< In no order; see running_at.
 };
--- a/tests/scheduling/fixtures.h
+++ b/tests/scheduling/fixtures.h
@@ -24,7 +24,7 @@
 /// Reclaims at once, for tests of what is reclaimed.
 inline PolicySettings Immediate() {
   PolicySettings settings = Checked();
-  settings.queue = LeastAttainedService{.reclaim_patience = Duration{}};
+  settings.queue = LeastAttainedService{.reclaim_delay = Duration{}};
   return settings;
 }
 
