Share the settings parser between kinds of instances

Cause: an instance that serves jobs needs settings of its own, and the parser knew only those of the daemon. Change: rows, parser and printer are templates over the settings; a unit for addresses; durations may have decimals, as the platform's template fills in fractions. Ruled out: optional rows in the daemon's settings, since nine of its required keys mean nothing there. Conclusion: one parser, two tables.

--- a/packages/configuration/include/jasminespar/configuration/value_text.h
+++ b/packages/configuration/include/jasminespar/configuration/value_text.h
@@ -17,20 +17,22 @@
   kName,
   kHost,
   kPath,
+  kAddress,
   kPort,
   kCount,
   kBytes,
   kDuration,
 };
 
-inline constexpr NameTable<Unit, 7> kUnitNames{{
+inline constexpr NameTable<Unit, 8> kUnitNames{{
     {Unit::kName, "name", "1 to 64 letters, digits, '.', '_' or '-'."},
     {Unit::kHost, "IP number", "IPv4, such as 127.0.0.1."},
     {Unit::kPath, "path", "A folder that exists."},
+    {Unit::kAddress, "address", "IPv4 and port, such as 127.0.0.1:8001."},
     {Unit::kPort, "port", "TCP and UDP port."},
     {Unit::kCount, "count", "A whole number."},
     {Unit::kBytes, "bytes", "A whole number, with B, KiB or MiB."},
-    {Unit::kDuration, "duration", "A whole number with us, ms, s, min or h."},
+    {Unit::kDuration, "duration", "A number with us, ms, s, min or h."},
 }};
 static_assert(IsDense(kUnitNames));
 
--- a/packages/configuration/src/value_text.cc
+++ b/packages/configuration/src/value_text.cc
@@ -59,6 +59,38 @@
   return true;
 }
 
+/// Takes ".5" off the front of "5s" after its whole number.
+/// @return the digits after the point; empty when there are none.
+std::string_view TakeDecimals(std::string_view& text) {
+  if (!text.starts_with('.')) return {};
+  std::size_t end = 1;
+  while (end < text.size() && text[end] >= '0' && text[end] <= '9') ++end;
+  if (end == 1) return {};
+  const std::string_view digits = text.substr(1, end - 1);
+  text.remove_prefix(end);
+  return digits;
+}
+
+/// @return the part of `factor` that the decimals stand for, rounded down.
+std::int64_t FractionOf(std::string_view decimals, std::int64_t factor) {
+  std::int64_t fraction = 0;
+  for (const char digit : decimals) {
+    factor /= 10;
+    fraction += (digit - '0') * factor;
+  }
+  return fraction;
+}
+
+bool IsAddress(std::string_view text) {
+  constexpr std::int64_t kMaxPort = 65535;
+  const std::size_t colon = text.find(':');
+  if (colon == std::string_view::npos) return false;
+  const std::optional<std::int64_t> port =
+      ParseNumber(Unit::kPort, text.substr(colon + 1));
+  return IsIpv4(text.substr(0, colon)) && port && *port >= 1 &&
+         *port <= kMaxPort;
+}
+
 }  // namespace
 
 std::optional<std::int64_t> ParseNumber(Unit unit, std::string_view text) {
@@ -67,13 +99,15 @@
   const auto [rest, error] = std::from_chars(text.data(), end, number);
   if (error != std::errc{} || number < 0) return std::nullopt;
   std::string_view suffix(rest, static_cast<std::size_t>(end - rest));
+  const std::string_view decimals =
+      unit == Unit::kDuration ? TakeDecimals(suffix) : std::string_view();
   suffix.remove_prefix(std::min(suffix.find_first_not_of(' '), suffix.size()));
   for (const Suffix& known : SuffixesOf(unit)) {
     if (known.text != suffix) continue;
     if (number > std::numeric_limits<std::int64_t>::max() / known.factor) {
       return std::nullopt;
     }
-    return number * known.factor;
+    return number * known.factor + FractionOf(decimals, known.factor);
   }
   return std::nullopt;
 }
@@ -101,6 +135,8 @@
       return IsValidName(text);
     case Unit::kHost:
       return IsIpv4(text);
+    case Unit::kAddress:
+      return IsAddress(text);
     default:
       return !text.empty();
   }
--- a/packages/settings/include/jasminespar/settings/settings_table.h
+++ b/packages/settings/include/jasminespar/settings/settings_table.h
@@ -1,6 +1,6 @@
 /// @file
-/// The one table of the daemon's settings: parsing, printing and the page
-/// docs/SETTINGS.md all follow it.
+/// Tables of settings, one a kind of process: parsing, printing and the page
+/// docs/SETTINGS.md all follow them.
 
 #ifndef JASMINESPAR_SETTINGS_SETTINGS_TABLE_H_
 #define JASMINESPAR_SETTINGS_SETTINGS_TABLE_H_
@@ -13,6 +13,7 @@
 
 #include "jasminespar/configuration/value_text.h"
 #include "jasminespar/settings/daemon_settings.h"
+#include "jasminespar/settings/job_server_settings.h"
 
 namespace jasminespar::settings {
 
@@ -25,12 +26,17 @@
 enum class Presence : std::uint8_t { kDefaulted, kRequired, kOptional };
 
 /// Reaches the field that a row fills.
-template <typename Value>
-using FieldOf = Value& (*)(DaemonSettings&);
-using Field = std::variant<FieldOf<InstanceId>, FieldOf<DataCentreId>,
-                           FieldOf<std::string>, FieldOf<std::uint16_t>,
-                           FieldOf<std::uint32_t>, FieldOf<Duration>>;
+template <typename Settings, typename Value>
+using FieldOf = Value& (*)(Settings&);
+template <typename Settings>
+using Field =
+    std::variant<FieldOf<Settings, InstanceId>, FieldOf<Settings, DataCentreId>,
+                 FieldOf<Settings, std::string>,
+                 FieldOf<Settings, configuration::Address>,
+                 FieldOf<Settings, std::uint16_t>,
+                 FieldOf<Settings, std::uint32_t>, FieldOf<Settings, Duration>>;
 
+template <typename Settings>
 struct SettingRow {
   std::string_view section;
   std::string_view key;
@@ -39,14 +45,20 @@
   std::string_view default_text;  ///< Empty unless kDefaulted.
   Range range;                    ///< Of numeric units only.
   std::string_view help;
-  Field field;
+  Field<Settings> field;
 };
 
-/// Rows of one section stand together.
-[[nodiscard]] std::span<const SettingRow> SettingRows();
+/// The rows of one kind of settings; those of one section stand together.
+template <typename Settings>
+[[nodiscard]] std::span<const SettingRow<Settings>> SettingRows();
 
-/// @return the allowed values of a row, for a person.
-[[nodiscard]] std::string AllowedOf(const SettingRow& row);
+template <>
+[[nodiscard]] std::span<const SettingRow<DaemonSettings>> SettingRows();
+template <>
+[[nodiscard]] std::span<const SettingRow<JobServerSettings>> SettingRows();
+
+/// @return the allowed values of a unit and range, for a person.
+[[nodiscard]] std::string AllowedOf(configuration::Unit unit, Range range);
 
 }  // namespace jasminespar::settings
 
--- /dev/null
+++ b/packages/settings/src/job_server_settings.cc
@@ -0,0 +1,172 @@
+#include "jasminespar/settings/job_server_settings.h"
+
+#include <array>
+
+#include "row_parser.h"
+
+namespace jasminespar::settings {
+
+namespace {
+
+constexpr std::int64_t kMs = 1'000;  // Microseconds, as all durations here.
+constexpr std::int64_t kS = 1'000 * kMs;
+constexpr std::int64_t kH = 3'600 * kS;
+
+using enum Presence;
+using enum configuration::Unit;
+using configuration::Address;
+
+/// Short for the rows below.
+using Settings = JobServerSettings;
+
+constexpr std::array<SettingRow<Settings>, 15> kRows{{
+    {"instance",
+     "id",
+     kName,
+     kRequired,
+     "",
+     {},
+     "Unique name of this instance.",
+     [](Settings& s) -> InstanceId& { return s.instance; }},
+    {"instance",
+     "data_centre",
+     kName,
+     kRequired,
+     "",
+     {},
+     "Data centre of this instance.",
+     [](Settings& s) -> DataCentreId& { return s.data_centre; }},
+    {"listen",
+     "callers",
+     kAddress,
+     kRequired,
+     "",
+     {},
+     "Address on which jobs are taken and shown.",
+     [](Settings& s) -> Address& { return s.callers; }},
+    {"listen",
+     "readiness",
+     kAddress,
+     kRequired,
+     "",
+     {},
+     "Address on which the balancer asks whether this instance is ready.",
+     [](Settings& s) -> Address& { return s.readiness; }},
+    {"listen",
+     "metrics",
+     kAddress,
+     kRequired,
+     "",
+     {},
+     "Address on which GET /metrics is answered.",
+     [](Settings& s) -> Address& { return s.metrics; }},
+    {"listen",
+     "max_connections",
+     kCount,
+     kDefaulted,
+     "3000",
+     {1, 100'000},
+     "Callers' connections held at once; more are refused.",
+     [](Settings& s) -> std::uint32_t& { return s.max_connections; }},
+    {"table",
+     "address",
+     kAddress,
+     kRequired,
+     "",
+     {},
+     "Address of the site's transactional table.",
+     [](Settings& s) -> Address& { return s.table; }},
+    {"workers",
+     "max_lease",
+     kDuration,
+     kDefaulted,
+     "10s",
+     {1 * kS, 1 * kH},
+     "Longest lease that a worker grants to what it runs.",
+     [](Settings& s) -> Duration& { return s.max_lease; }},
+    {"workers",
+     "gang_patience",
+     kDuration,
+     kDefaulted,
+     "3s",
+     {100 * kMs, 1 * kH},
+     "A worker ends a member of a gang that waits longer for the others.",
+     [](Settings& s) -> Duration& { return s.gang_patience; }},
+    {"workers",
+     "stop_limit",
+     kDuration,
+     kDefaulted,
+     "900ms",
+     {1 * kMs, 1 * kH},
+     "A worker stops a task within this time.",
+     [](Settings& s) -> Duration& { return s.stop_limit; }},
+    {"workers",
+     "checkpoint_interval",
+     kDuration,
+     kDefaulted,
+     "1s",
+     {1 * kMs, 1 * kH},
+     "Work of a task between two of its checkpoints.",
+     [](Settings& s) -> Duration& { return s.checkpoint_interval; }},
+    {"jobs",
+     "status_retention",
+     kDuration,
+     kDefaulted,
+     "2min",
+     {1 * kS, 24 * kH},
+     "Time for which the state of a finished job is shown.",
+     [](Settings& s) -> Duration& { return s.status_retention; }},
+    {"jobs",
+     "early_start",
+     kDuration,
+     kDefaulted,
+     "250ms",
+     {0, 1 * kH},
+     "An occurrence may start this long before it is due.",
+     [](Settings& s) -> Duration& { return s.early_start; }},
+    {"process",
+     "shutdown_grace",
+     kDuration,
+     kDefaulted,
+     "6s",
+     {1 * kS, 1 * kH},
+     "Time between the request to stop and the kill.",
+     [](Settings& s) -> Duration& { return s.shutdown_grace; }},
+    {"process",
+     "ring_capacity",
+     kCount,
+     kDefaulted,
+     "1024",
+     {16, 1'048'576},
+     "Messages in each ring between two threads.",
+     [](Settings& s) -> std::uint32_t& { return s.ring_capacity; }},
+}};
+
+void CompleteNothing(JobServerSettings&) {}
+
+void CheckTogether(const JobServerSettings& settings,
+                   RowParser<JobServerSettings>& parser) {
+  if (settings.callers == settings.readiness) {
+    parser.AddFaultAt("listen", "readiness", "the same as callers");
+  }
+}
+
+}  // namespace
+
+template <>
+std::span<const SettingRow<JobServerSettings>>
+SettingRows<JobServerSettings>() {
+  return kRows;
+}
+
+std::variant<JobServerSettings, std::vector<SettingFault>>
+ParseJobServerSettings(const std::string& text, const std::string& file_name) {
+  return RowParser<JobServerSettings>(text, file_name)
+      .Finish(CompleteNothing, CheckTogether);
+}
+
+std::string PrintJobServerSettings(const JobServerSettings& settings) {
+  return PrintRows(settings);
+}
+
+}  // namespace jasminespar::settings
--- a/packages/settings/src/settings_page.cc
+++ b/packages/settings/src/settings_page.cc
@@ -10,7 +10,8 @@
 constexpr std::string_view kIntroduction =
     "# Settings of `jasmined`\n"
     "\n"
-    "One INI file, read once at the start: `jasmined --settings FILE`. "
+    "One INI file, read at the start: `jasmined --settings FILE`, or "
+    "`jasmined --serve jobs --settings FILE`. "
     "Comments start with `;` "
     "or `#`. Every fault is reported at once, with file, line, key and allowed "
     "range, and the "
@@ -20,12 +21,11 @@
     "`30s`, `10min` or "
     "`256KiB`.\n"
     "\n"
-    "This page follows the table in `packages/settings/src/settings_table.cc`; "
-    "a test compares "
-    "them.\n";
+    "This page follows the tables in `packages/settings/src/`; a test "
+    "compares them.\n";
 
-std::string DefaultOf(const SettingRow& row) {
-  switch (row.presence) {
+std::string DefaultOf(Presence presence, std::string_view default_text) {
+  switch (presence) {
     case Presence::kRequired:
       return "required";
     case Presence::kOptional:
@@ -33,23 +33,33 @@
     case Presence::kDefaulted:
       break;
   }
-  return "`" + std::string(row.default_text) + "`";
+  return "`" + std::string(default_text) + "`";
 }
 
-}  // namespace
-
-std::string SettingsPage() {
-  std::string page(kIntroduction);
+template <typename Settings>
+void AppendTables(std::string& page) {
   std::string_view section;
-  for (const SettingRow& row : SettingRows()) {
+  for (const SettingRow<Settings>& row : SettingRows<Settings>()) {
     if (row.section != section) {
-      page += "\n## [" + std::string(row.section) +
+      page += "\n### [" + std::string(row.section) +
               "]\n\n| key | default | allowed | meaning |\n|---|---|---|---|\n";
       section = row.section;
     }
-    page += "| `" + std::string(row.key) + "` | " + DefaultOf(row) + " | " +
-            AllowedOf(row) + " | " + std::string(row.help) + " |\n";
+    page += "| `" + std::string(row.key) + "` | " +
+            DefaultOf(row.presence, row.default_text) + " | " +
+            AllowedOf(row.unit, row.range) + " | " + std::string(row.help) +
+            " |\n";
   }
+}
+
+}  // namespace
+
+std::string SettingsPage() {
+  std::string page(kIntroduction);
+  page += "\n## An instance that serves jobs (`--serve jobs`)\n";
+  AppendTables<JobServerSettings>(page);
+  page += "\n## An instance that serves calls (the default)\n";
+  AppendTables<DaemonSettings>(page);
   return page;
 }
 
--- a/packages/settings/src/settings_table.cc
+++ b/packages/settings/src/settings_table.cc
@@ -19,7 +19,7 @@
 /// Short for the rows below.
 using Settings = DaemonSettings;
 
-constexpr std::array<SettingRow, 37> kSettingRows{{
+constexpr std::array<SettingRow<DaemonSettings>, 37> kSettingRows{{
     {"instance",
      "id",
      kName,
@@ -342,13 +342,16 @@
 
 }  // namespace
 
-std::span<const SettingRow> SettingRows() { return kSettingRows; }
+template <>
+std::span<const SettingRow<DaemonSettings>> SettingRows<DaemonSettings>() {
+  return kSettingRows;
+}
 
-std::string AllowedOf(const SettingRow& row) {
-  if (!configuration::IsNumeric(row.unit))
-    return std::string(RowOf(configuration::kUnitNames, row.unit).help);
-  return configuration::FormatNumber(row.unit, row.range.min) + " to " +
-         configuration::FormatNumber(row.unit, row.range.max);
+std::string AllowedOf(configuration::Unit unit, Range range) {
+  if (!configuration::IsNumeric(unit))
+    return std::string(RowOf(configuration::kUnitNames, unit).help);
+  return configuration::FormatNumber(unit, range.min) + " to " +
+         configuration::FormatNumber(unit, range.max);
 }
 
 }  // namespace jasminespar::settings
--- a/tests/settings/settings_test.cc
+++ b/tests/settings/settings_test.cc
@@ -58,7 +58,7 @@
 
 TEST_CASE("every default of the table parses, is in range and prints alike") {
   std::set<std::pair<std::string_view, std::string_view>> keys;
-  for (const SettingRow& row : SettingRows()) {
+  for (const SettingRow<DaemonSettings>& row : SettingRows<DaemonSettings>()) {
     CAPTURE(row.key);
     CHECK(keys.insert({row.section, row.key}).second);
     CHECK_FALSE(row.help.empty());
