--- a/apps/jasmined/main.cc
+++ b/apps/jasmined/main.cc
@@ -4,10 +4,15 @@
 #include <cxxopts.hpp>
 #include <fstream>
 #include <iostream>
+#include <optional>
 #include <sstream>
 
+#include "jasminespar/core/name_table.h"
 #include "jasminespar/daemon/instance.h"
+#include "jasminespar/fleet/fleet_codec.h"
+#include "jasminespar/jobserver/job_server.h"
 #include "jasminespar/settings/daemon_settings.h"
+#include "jasminespar/settings/job_server_settings.h"
 #include "jasminespar/telemetry/events.h"
 
 namespace jasminespar {
@@ -19,58 +24,116 @@
 constexpr int kExitUsage = 2;
 constexpr int kExitSettings = 3;
 
-using ParsedSettings =
-    std::variant<settings::DaemonSettings, std::vector<settings::SettingFault>>;
+/// What an instance serves.
+enum class Service : std::uint8_t { kCalls, kJobs };
 
-ParsedSettings ReadSettings(const std::string& path) {
+constexpr NameTable<Service, 2> kServiceNames{{
+    {Service::kCalls, "calls", "One gang and one answer a call."},
+    {Service::kJobs, "jobs", "Jobs of steps, on the users' platform."},
+}};
+static_assert(IsDense(kServiceNames));
+
+std::string ReadFile(const std::string& path) {
   std::ifstream file(path);
   if (!file) throw std::runtime_error("cannot read " + path);
   std::ostringstream text;
   text << file.rdbuf();
-  return settings::ParseDaemonSettings(text.str(), path);
+  return text.str();
 }
 
-int Run(const cxxopts::ParseResult& options, const char* program) {
-  const ParsedSettings parsed =
-      ReadSettings(options["settings"].as<std::string>());
-  if (const auto* faults =
-          std::get_if<std::vector<settings::SettingFault>>(&parsed)) {
-    telemetry::StartLogging(program, "");
-    for (const settings::SettingFault& fault : *faults) {
-      telemetry::LogEvent(telemetry::Event::kSettingsFault,
-                          {{"fault", settings::ToString(fault)}});
-    }
-    return kExitSettings;
+int ReportFaults(const std::vector<settings::SettingFault>& faults,
+                 const char* program) {
+  telemetry::StartLogging(program, "");
+  for (const settings::SettingFault& fault : faults) {
+    telemetry::LogEvent(telemetry::Event::kSettingsFault,
+                        {{"fault", settings::ToString(fault)}});
   }
-  const auto& settings = std::get<settings::DaemonSettings>(parsed);
+  return kExitSettings;
+}
+
+/// Answers the options that only look at the settings.
+/// @return an exit code, or nothing when the instance is to run.
+std::optional<int> AnswerQuestions(const cxxopts::ParseResult& options,
+                                   const std::string& printed) {
   if (options.count("print-settings") > 0) {
-    std::cout << settings::PrintDaemonSettings(settings);
+    std::cout << printed;
     return kExitOk;
   }
   if (options.count("check-settings") > 0) {
     std::cout << "settings are valid\n";
     return kExitOk;
   }
+  return std::nullopt;
+}
+
+int ServeCalls(const cxxopts::ParseResult& options, const std::string& path,
+               const char* program) {
+  const auto parsed = settings::ParseDaemonSettings(ReadFile(path), path);
+  if (const auto* faults =
+          std::get_if<std::vector<settings::SettingFault>>(&parsed)) {
+    return ReportFaults(*faults, program);
+  }
+  const auto& settings = std::get<settings::DaemonSettings>(parsed);
+  const std::optional<int> answered =
+      AnswerQuestions(options, settings::PrintDaemonSettings(settings));
+  if (answered) return *answered;
   telemetry::StartLogging(program, settings.log_folder);
   daemon::Instance instance(settings);
   instance.Run();
   return kExitOk;
 }
 
+int ServeJobs(const cxxopts::ParseResult& options, const std::string& path,
+              const char* program) {
+  const auto parsed = settings::ParseJobServerSettings(ReadFile(path), path);
+  if (const auto* faults =
+          std::get_if<std::vector<settings::SettingFault>>(&parsed)) {
+    return ReportFaults(*faults, program);
+  }
+  const auto& settings = std::get<settings::JobServerSettings>(parsed);
+  const std::optional<int> answered =
+      AnswerQuestions(options, settings::PrintJobServerSettings(settings));
+  if (answered) return *answered;
+  jobserver::JobServer server(settings, path, fleet::MakeFleetCodec());
+  server.Run();
+  return kExitOk;
+}
+
+std::string SettingsPathOf(const cxxopts::ParseResult& options) {
+  if (options.count("settings") > 0) {
+    return options["settings"].as<std::string>();
+  }
+  return fleet::SettingsPath();
+}
+
+int Run(const cxxopts::ParseResult& options, const std::string& help,
+        const char* program) {
+  const std::string path = SettingsPathOf(options);
+  if (options.count("help") > 0 || path.empty()) {
+    std::cout << help;
+    return options.count("help") > 0 ? kExitOk : kExitUsage;
+  }
+  const std::optional<Service> service =
+      ParseName(kServiceNames, options["serve"].as<std::string>());
+  if (!service) {
+    std::cerr << "jasmined: --serve takes calls or jobs\n";
+    return kExitUsage;
+  }
+  return *service == Service::kJobs ? ServeJobs(options, path, program)
+                                    : ServeCalls(options, path, program);
+}
+
 int Main(int argc, char** argv) {
   cxxopts::Options options("jasmined", "One instance of jasminespar.");
   options.add_options()("s,settings", "INI file",
                         cxxopts::value<std::string>())(
+      "serve", "calls or jobs",
+      cxxopts::value<std::string>()->default_value("calls"))(
       "check-settings", "report every fault of the file and exit")(
       "print-settings", "print all settings with their values and exit")(
       "h,help", "this page");
   try {
-    const cxxopts::ParseResult result = options.parse(argc, argv);
-    if (result.count("help") > 0 || result.count("settings") == 0) {
-      std::cout << options.help();
-      return result.count("help") > 0 ? kExitOk : kExitUsage;
-    }
-    return Run(result, argv[0]);
+    return Run(options.parse(argc, argv), options.help(), argv[0]);
   } catch (const cxxopts::exceptions::exception& error) {
     std::cerr << error.what() << '\n';
     return kExitUsage;
--- /dev/null
+++ b/packages/jobserver/include/jasminespar/jobserver/event_log.h
@@ -0,0 +1,33 @@
+/// @file
+/// Log of one duty: lines go to the telemetry duty and never block.
+
+#ifndef JASMINESPAR_JOBSERVER_EVENT_LOG_H_
+#define JASMINESPAR_JOBSERVER_EVENT_LOG_H_
+
+#include <cstdint>
+#include <initializer_list>
+
+#include "jasminespar/jobserver/messages.h"
+#include "jasminespar/runtime/channel.h"
+#include "jasminespar/telemetry/events.h"
+
+namespace jasminespar::jobserver {
+
+/// Owned by one duty. Lines beyond what the ring holds are counted and left
+/// out; the count is logged when there is room again.
+class EventLog {
+ public:
+  explicit EventLog(runtime::Channel<ToTelemetry>& telemetry)
+      : telemetry_(telemetry) {}
+
+  void Log(telemetry::Event event,
+           std::initializer_list<telemetry::Field> fields);
+
+ private:
+  runtime::Channel<ToTelemetry>& telemetry_;
+  std::uint64_t left_out_ = 0;
+};
+
+}  // namespace jasminespar::jobserver
+
+#endif  // JASMINESPAR_JOBSERVER_EVENT_LOG_H_
--- /dev/null
+++ b/packages/jobserver/src/dispatch_duty.cc
@@ -0,0 +1,390 @@
+#include "jasminespar/jobserver/dispatch_duty.h"
+
+#include <boost/asio/post.hpp>
+#include <utility>
+
+#include "jasminespar/core/digest.h"
+#include "jasminespar/core/error.h"
+#include "jasminespar/core/overloaded.h"
+#include "jasminespar/jobserver/table_layout.h"
+#include "jasminespar/protocol/job_records.h"
+#include "jasminespar/runtime/clock.h"
+
+namespace jasminespar::jobserver {
+
+using telemetry::Counter;
+using telemetry::Event;
+using telemetry::Timing;
+
+namespace {
+
+constexpr Duration kOwnerTick = 100ms;
+constexpr Duration kIdleTick = 250ms;
+
+/// All attempts of one write; it is then sent again under the same number.
+constexpr Duration kOwnerWriteSpan = 2s;
+
+/// Candidates are spread over this many places, so that few claim at once.
+constexpr std::uint64_t kRanks = 6;
+
+/// Each write makes the row differ, so that its author can tell it.
+constexpr std::uint64_t kNoWrite = 0;
+
+jobs::Now PresentTime() {
+  return {runtime::SteadyNow(),
+          {static_cast<std::uint64_t>(runtime::WallMilliseconds())}};
+}
+
+std::uint32_t RankOf(const InstanceId& self) {
+  return static_cast<std::uint32_t>(SeededHash(self.value, 0) % kRanks);
+}
+
+}  // namespace
+
+DispatchDuty::DispatchDuty(runtime::Duty& duty, InstanceId self,
+                           const jobs::DispatcherSettings& settings,
+                           const Rings& rings, telemetry::Metrics& metrics)
+    : duty_(duty),
+      self_(std::move(self)),
+      settings_(settings),
+      rings_(rings),
+      metrics_(metrics),
+      log_(rings.telemetry),
+      tick_timer_(duty.context()),
+      ownership_(jobs::OwnershipSettings{}, self_, RankOf(self_),
+                 runtime::SteadyNow()) {}
+
+void DispatchDuty::Start() { ScheduleTick(); }
+
+void DispatchDuty::Handle(ToDispatch message) {
+  std::visit([this](auto& alternative) { On(alternative); }, message);
+}
+
+void DispatchDuty::On(ConfigurationSeen& seen) {
+  configuration_ = std::move(seen.configuration);
+  if (dispatcher_ != nullptr) {
+    Feed(jobs::ConfigurationChanged{configuration_});
+  }
+}
+
+void DispatchDuty::On(CancellationSeen& seen) {
+  if (dispatcher_ != nullptr) Feed(jobs::JobCancelled{std::move(seen.job)});
+}
+
+void DispatchDuty::On(OwnerSeen& seen) {
+  const jobs::OwnerRow before = ownership_.row();
+  const TimePoint now = runtime::SteadyNow();
+  const bool lost = ownership_.SeeOwner(seen.row, seen.version, now);
+  const jobs::OwnerRow& after = ownership_.row();
+  if (before.epoch != after.epoch || before.owner != after.owner) {
+    log_.Log(Event::kOwnerChanged, {{"owner", after.owner.value},
+                                    {"epoch", after.epoch.durable},
+                                    {"row", seen.version.value}});
+  }
+  if (lost) StepDown();
+  FollowOwnership();
+}
+
+void DispatchDuty::On(OwnerAbsent&) {
+  ownership_.SeeNoOwner(runtime::SteadyNow());
+  FollowOwnership();
+}
+
+void DispatchDuty::On(TableSeen&) { ownership_.SeeTable(runtime::SteadyNow()); }
+
+void DispatchDuty::On(JobSeen& seen) {
+  if (!Owns(seen.epoch)) return;
+  Feed(jobs::JobFound{std::move(seen.job), std::move(seen.progress)});
+}
+
+void DispatchDuty::On(EnrolledSeen& seen) {
+  if (Owns(seen.epoch)) Feed(std::move(seen.worker));
+}
+
+void DispatchDuty::On(WorkerSeen& seen) {
+  if (Owns(seen.epoch)) Feed(jobs::WorkerListed{std::move(seen.entry)});
+}
+
+void DispatchDuty::On(WorkerGone& gone) {
+  if (Owns(gone.epoch)) Feed(jobs::WorkerUnlisted{std::move(gone.name)});
+}
+
+void DispatchDuty::On(LoadFinished& finished) {
+  if (!Owns(finished.epoch)) return;
+  const TimePoint now = runtime::SteadyNow();
+  dispatcher_->FinishLoading(now);
+  metrics_.Observe(Timing::kTakeover, now - claimed_at_);
+  log_.Log(Event::kCellRecovered,
+           {{"cell", kCellPart},
+            {"epoch", finished.epoch.durable},
+            {"took_ms", ToMilliseconds(now - claimed_at_)}});
+  ScheduleDecision();
+}
+
+void DispatchDuty::On(OrderReturned& returned) {
+  if (Owns(returned.epoch)) Feed(std::move(returned.ended));
+}
+
+void DispatchDuty::On(WriteEnded& ended) {
+  if (!in_flight_ || in_flight_->number != ended.number) return;
+  OwnerWriteEnded(ended.outcome);
+}
+
+void DispatchDuty::On(LeaveCell&) {
+  ownership_.Leave();
+  release_wanted_ = true;
+  FollowOwnership();
+}
+
+void DispatchDuty::On(DispatcherSettingsChanged& changed) {
+  settings_ = changed.settings;  // In force from the next epoch on.
+}
+
+void DispatchDuty::ScheduleTick() {
+  tick_timer_.expires_after(dispatcher_ != nullptr ? kOwnerTick : kIdleTick);
+  tick_timer_.async_wait([this](const boost::system::error_code& error) {
+    if (error) return;
+    Tick();
+    ScheduleTick();
+  });
+}
+
+void DispatchDuty::Tick() {
+  FollowOwnership();
+  if (dispatcher_ != nullptr) Decide();
+}
+
+void DispatchDuty::ScheduleDecision() {
+  if (std::exchange(decision_scheduled_, true)) return;
+  // After the messages that wait now, so that one decision serves them all.
+  boost::asio::post(duty_.context(), [this] {
+    decision_scheduled_ = false;
+    if (dispatcher_ != nullptr) Decide();
+  });
+}
+
+void DispatchDuty::Decide() {
+  const TimePoint begun = runtime::SteadyNow();
+  Perform(dispatcher_->Decide(ownership_.AuthorityAt(begun), PresentTime()));
+  metrics_.Observe(Timing::kDecision, runtime::SteadyNow() - begun);
+}
+
+void DispatchDuty::Feed(jobs::DispatcherInput input) {
+  Perform(dispatcher_->Handle(std::move(input), PresentTime()));
+  ScheduleDecision();
+}
+
+void DispatchDuty::Perform(std::vector<jobs::DispatcherEffect> effects) {
+  for (jobs::DispatcherEffect& effect : effects) {
+    std::visit([this](auto& alternative) { PerformEffect(alternative); },
+               effect);
+  }
+}
+
+void DispatchDuty::PerformEffect(jobs::SendOrder& order) {
+  rings_.workers.Send(ForwardOrder{ownership_.epoch(), std::move(order)});
+}
+
+void DispatchDuty::PerformEffect(jobs::Commit& commit) {
+  waiting_commit_ = std::move(commit);
+  SendNextCommit();
+}
+
+void DispatchDuty::PerformEffect(jobs::Decision& decision) {
+  log_.Log(Event::kJobDecision,
+           {{"id", decision.task.job.value},
+            {"decision", RowOf(jobs::kDecisionNames, decision.kind).name},
+            {"cause", RowOf(jobs::kDecisionCauseNames, decision.cause).name},
+            {"occurrence", decision.task.occurrence},
+            {"step", decision.task.step},
+            {"task", decision.task.index},
+            {"run", decision.run.value},
+            {"worker", decision.worker.value},
+            {"detail", decision.detail},
+            {"epoch", ownership_.epoch().durable},
+            {"age_ms", ToMilliseconds(decision.age)}});
+}
+
+void DispatchDuty::FollowOwnership() {
+  if (in_flight_) return;
+  const TimePoint now = runtime::SteadyNow();
+  if (release_wanted_ && ownership_.owned()) {
+    release_wanted_ = false;
+    OwnerWrite write;
+    write.kind = OwnerWrite::Kind::kRelease;
+    write.row = {InstanceId{}, ownership_.epoch(), kNoWrite};
+    SendOwnerWrite(std::move(write));
+    return;
+  }
+  std::visit(Overloaded{
+                 [](const jobs::Wait&) {},
+                 [&](const jobs::ClaimCell& claim) {
+                   OwnerWrite write;
+                   write.kind = OwnerWrite::Kind::kClaim;
+                   write.row = {self_, claim.epoch, kNoWrite};
+                   claimed_at_ = now;
+                   SendOwnerWrite(std::move(write));
+                 },
+                 [&](const jobs::SendBeat&) {
+                   OwnerWrite write;
+                   write.row = {self_, ownership_.epoch(), kNoWrite};
+                   SendOwnerWrite(std::move(write));
+                 },
+             },
+             ownership_.Next(now));
+}
+
+void DispatchDuty::SendNextCommit() {
+  if (in_flight_ || !waiting_commit_) return;
+  const jobs::Commit commit = *std::exchange(waiting_commit_, std::nullopt);
+  OwnerWrite write;
+  write.kind = OwnerWrite::Kind::kCommit;
+  write.commit = commit.commit;
+  write.row = {self_, ownership_.epoch(), kNoWrite};
+  std::vector<site::Row>& rows = write.transaction.writes;
+  for (const jobs::JobProgress& progress : commit.progress) {
+    rows.push_back({CellRow(kProgressTable, progress.job.value),
+                    protocol::Encode(progress),
+                    {}});
+  }
+  for (const jobs::JobStatus& status : commit.statuses) {
+    rows.push_back({CellRow(kStatusTable, status.job.value),
+                    protocol::Encode(status),
+                    {}});
+  }
+  for (const jobs::WorkerEnrolled& worker : commit.enrolled) {
+    rows.push_back({CellRow(kWorkerTable, worker.name.value),
+                    protocol::Encode(worker),
+                    {}});
+  }
+  for (const jobs::JobId& job : commit.forgotten) {
+    std::vector<site::RowKey>& deletes = write.transaction.deletes;
+    deletes.push_back(CellRow(kJobTable, job.value));
+    deletes.push_back(CellRow(kProgressTable, job.value));
+    deletes.push_back(CellRow(kStatusTable, job.value));
+    deletes.push_back(CancellationKey(job));
+  }
+  SendOwnerWrite(std::move(write));
+}
+
+void DispatchDuty::SendOwnerWrite(OwnerWrite write) {
+  // A write that is carried out late finds the row changed, and does nothing.
+  write.row.write = ++last_write_;
+  write.transaction.conditions.push_back({OwnerRowKey(), ownership_.version()});
+  write.transaction.writes.push_back(
+      {OwnerRowKey(), protocol::Encode(write.row), {}});
+  write.sent_at = runtime::SteadyNow();
+  in_flight_ = std::move(write);
+  Transmit();
+}
+
+void DispatchDuty::Transmit() {
+  in_flight_->number = ++last_write_;
+  rings_.store.Send(
+      WriteRows{in_flight_->number, in_flight_->transaction, kOwnerWriteSpan});
+}
+
+std::optional<jobs::RowVersion> DispatchDuty::OwnVersionIn(
+    const site::Conflict& conflict) const {
+  for (const site::Row& row : conflict.current) {
+    if (row.key != OwnerRowKey()) continue;
+    try {
+      const jobs::OwnerRow found = protocol::DecodeOwnerRow(row.value);
+      if (found == in_flight_->row) return row.version;
+    } catch (const Error&) {
+      return std::nullopt;  // Another's row, then; it is logged when read.
+    }
+  }
+  return std::nullopt;
+}
+
+void DispatchDuty::OwnerWriteEnded(const site::TransactionOutcome& outcome) {
+  const TimePoint now = runtime::SteadyNow();
+  if (const auto* committed = std::get_if<site::Committed>(&outcome)) {
+    Won(committed->version);
+    return;
+  }
+  if (const auto* conflict = std::get_if<site::Conflict>(&outcome)) {
+    // An earlier sending of this very write may have been carried out.
+    if (const auto version = OwnVersionIn(*conflict)) {
+      Won(*version);
+      return;
+    }
+    const OwnerWrite::Kind kind = std::exchange(in_flight_, std::nullopt)->kind;
+    if (kind == OwnerWrite::Kind::kClaim) {
+      log_.Log(Event::kClaimConflict, {{"cell", kCellPart}});
+      ownership_.ClaimFailed(now);
+    } else {
+      ownership_.Lose(now);
+      StepDown();
+    }
+    return;
+  }
+  const bool claim = in_flight_->kind == OwnerWrite::Kind::kClaim;
+  const bool turned_away = std::holds_alternative<site::TurnedAway>(outcome);
+  if (claim && turned_away) {
+    in_flight_.reset();
+    ownership_.ClaimFailed(now);
+    return;
+  }
+  log_.Log(Event::kCommitRepeated,
+           {{"write", in_flight_->row.write},
+            {"age_ms", ToMilliseconds(now - in_flight_->sent_at)}});
+  Transmit();
+}
+
+void DispatchDuty::Won(jobs::RowVersion version) {
+  const OwnerWrite write = *std::exchange(in_flight_, std::nullopt);
+  const TimePoint now = runtime::SteadyNow();
+  switch (write.kind) {
+    case OwnerWrite::Kind::kClaim:
+      ownership_.ClaimSucceeded(write.row, version, write.sent_at, now);
+      BeginEpoch(write.row.epoch);
+      return;
+    case OwnerWrite::Kind::kRelease:
+      log_.Log(Event::kHandoverFinished, {{"cell", kCellPart}});
+      ownership_.Lose(now);
+      StepDown();
+      return;
+    case OwnerWrite::Kind::kBeat:
+    case OwnerWrite::Kind::kCommit:
+      ownership_.WriteSucceeded(write.row, version, write.sent_at);
+      break;
+  }
+  if (write.kind == OwnerWrite::Kind::kCommit && dispatcher_ != nullptr) {
+    Feed(jobs::CommitDone{write.commit});
+  }
+  if (release_wanted_) {
+    FollowOwnership();
+  } else {
+    SendNextCommit();
+  }
+}
+
+void DispatchDuty::BeginEpoch(Epoch epoch) {
+  metrics_.Count(Counter::kCellsClaimed);
+  log_.Log(Event::kCellClaimed,
+           {{"cell", kCellPart}, {"epoch", epoch.durable}});
+  waiting_commit_.reset();
+  dispatcher_ = std::make_unique<jobs::Dispatcher>(settings_, epoch);
+  owns_ = true;
+  if (configuration_ != nullptr) {
+    Feed(jobs::ConfigurationChanged{configuration_});
+  }
+  rings_.store.Send(BeginOwning{epoch});
+}
+
+void DispatchDuty::StepDown() {
+  if (dispatcher_ == nullptr) return;
+  metrics_.Count(Counter::kCellsLost);
+  log_.Log(Event::kCellLost, {{"cell", kCellPart},
+                              {"epoch", ownership_.epoch().durable},
+                              {"owner", ownership_.row().owner.value}});
+  dispatcher_.reset();
+  waiting_commit_.reset();
+  in_flight_.reset();
+  owns_ = false;
+  rings_.store.Send(EndOwning{});
+}
+
+}  // namespace jasminespar::jobserver
--- /dev/null
+++ b/packages/jobserver/src/job_front.cc
@@ -0,0 +1,341 @@
+#include "jasminespar/jobserver/job_front.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "jasminespar/core/error.h"
+#include "jasminespar/core/overloaded.h"
+#include "jasminespar/jobserver/table_layout.h"
+#include "jasminespar/protocol/job_records.h"
+#include "jasminespar/runtime/clock.h"
+
+namespace jasminespar::jobserver {
+
+namespace asio = boost::asio;
+using telemetry::Counter;
+using telemetry::Event;
+using telemetry::Timing;
+
+namespace {
+
+constexpr int kOk = 200;
+
+/// A caller that names no deadline is taken to wait this long.
+constexpr Duration kDefaultPatience = 3s;
+
+/// The answer must reach the caller before its patience ends.
+constexpr Duration kAnswerMargin = 250ms;
+
+/// A write that the table turns away is given up after this long, so that the
+/// caller can try another instance.
+constexpr Duration kMaxWriteSpan = 2500ms;
+
+/// The store duty ends a write at its span; this only guards the wait.
+constexpr Duration kReplyMargin = 100ms;
+
+/// When a refused caller should come back, in seconds.
+constexpr std::string_view kRetryAfterSeconds = "1";
+
+http::Response JsonResponse(std::string body) {
+  http::Response response;
+  response.status = kOk;
+  response.headers.push_back({"Content-Type", "application/json"});
+  response.body = std::move(body);
+  return response;
+}
+
+http::Response RejectUnread(Reason reason) {
+  http::Response response;
+  response.status = HttpStatusOf(reason);
+  response.body = std::string(NameOf(reason));
+  return response;
+}
+
+}  // namespace
+
+JobFront::JobFront(runtime::Duty& duty, const JobFrontSettings& settings,
+                   const site::SiteCodec& codec, const Rings& rings,
+                   telemetry::Metrics& metrics)
+    : duty_(duty),
+      codec_(codec),
+      rings_(rings),
+      metrics_(metrics),
+      log_(rings.telemetry),
+      server_(
+          duty.context(), settings.callers.host, settings.callers.port,
+          settings.limits,
+          [this](http::Request request,
+                 const std::shared_ptr<http::ConnectionState>&) {
+            return Serve(std::move(request));
+          },
+          RejectUnread),
+      readiness_server_(
+          duty.context(), settings.readiness.host, settings.readiness.port,
+          settings.limits,
+          [this](http::Request request,
+                 const std::shared_ptr<http::ConnectionState>&) {
+            return ServeReadiness(std::move(request));
+          },
+          RejectUnread),
+      writes_(duty.context(), 0),
+      reads_(duty.context(), 0) {}
+
+void JobFront::Start() {
+  server_.Start();
+  readiness_server_.Start();
+}
+
+void JobFront::Handle(ToFront message) {
+  std::visit([this](auto& alternative) { On(alternative); }, message);
+}
+
+void JobFront::On(const ConfigurationSeen& seen) {
+  configuration_ = seen.configuration;
+}
+
+void JobFront::On(const StatusSeen& seen) {
+  jobs::JobStatus& known = statuses_[seen.status.job];
+  if (jobs::IsFinal(known.phase) && !jobs::IsFinal(seen.status.phase)) return;
+  known = seen.status;
+}
+
+void JobFront::On(const StatusForgotten& forgotten) {
+  statuses_.erase(forgotten.job);
+  cancelled_.erase(forgotten.job);
+}
+
+void JobFront::On(const CancellationSeen& seen) { cancelled_.insert(seen.job); }
+
+void JobFront::On(const StatusesLoaded&) { statuses_loaded_ = true; }
+
+void JobFront::On(WriteEnded& ended) {
+  writes_.Fill(ended.number, std::move(ended.outcome));
+}
+
+void JobFront::On(ReadEnded& ended) {
+  reads_.Fill(ended.number, std::move(ended.outcome));
+}
+
+void JobFront::On(const DrainFront&) {
+  draining_ = true;
+  server_.CloseAfterAnswers();
+}
+
+JobFront::Answer JobFront::ServeReadiness(http::Request request) {
+  const bool ready =
+      configuration_ != nullptr && statuses_loaded_ && !draining_;
+  http::Response response;
+  response.status = ready ? kOk : HttpStatusOf(Reason::kNoConfiguration);
+  if (http::PathOf(request.target) != codec_.caller.readiness_path) {
+    response.status = HttpStatusOf(Reason::kNotFound);
+  }
+  co_return response;
+}
+
+JobFront::Answer JobFront::Serve(http::Request request) {
+  const TimePoint now = runtime::SteadyNow();
+  const jobs::JobId none;
+  if (configuration_ == nullptr) {
+    co_return Refuse(Reason::kNoConfiguration, none, request.target, now);
+  }
+  const std::string path(http::PathOf(request.target));
+  const std::string host(http::HeaderOf(request.headers, "Host"));
+  const jobs::QueueConfiguration* queue = configuration_->FindRoute(host, path);
+  if (queue == nullptr) {
+    co_return Refuse(Reason::kUnknownQueue, none, path, now);
+  }
+  const jobs::AccountConfiguration* account =
+      configuration_->FindKey(codec_.caller.key_of(request));
+  if (account == nullptr && !queue->is_public) {
+    co_return Refuse(Reason::kUnknownKey, none, path, now);
+  }
+  Call call;
+  call.queue = *queue;
+  if (account != nullptr) call.account = account->name;
+  call.arrived = now;
+  call.deadline =
+      now + codec_.caller.patience_of(request).value_or(kDefaultPatience) -
+      kAnswerMargin;
+  call.request = std::move(request);
+  const site::CallerRequest wanted = codec_.caller.decode_call(
+      call.request.method, std::string_view(path).substr(queue->prefix.size()));
+  if (const auto* submit = std::get_if<site::SubmitJob>(&wanted)) {
+    co_return co_await Submit(std::move(call), submit->id);
+  }
+  if (const auto* show = std::get_if<site::ShowJob>(&wanted)) {
+    co_return co_await Show(std::move(call), show->id);
+  }
+  if (const auto* cancel = std::get_if<site::CancelJob>(&wanted)) {
+    co_return co_await Cancel(std::move(call), cancel->id);
+  }
+  if (std::holds_alternative<site::CountPending>(wanted)) {
+    co_return CountPending(call);
+  }
+  co_return Refuse(Reason::kNotFound, none, path, now);
+}
+
+JobFront::Answer JobFront::Submit(Call call, jobs::JobId id) {
+  if (Knows(id))
+    co_return JsonResponse(codec_.caller.encode_phase(PhaseOf(id)));
+  auto decoded = codec_.caller.decode_job(call.request.body);
+  if (const auto* fault = std::get_if<site::DecodeFault>(&decoded)) {
+    co_return Refuse(Reason::kMalformedRequest, id, fault->message,
+                     call.arrived);
+  }
+  jobs::AcceptedJob job{
+      id,
+      call.queue.name,
+      call.account,
+      {static_cast<std::uint64_t>(runtime::WallMilliseconds())},
+      std::move(std::get<jobs::JobSpec>(decoded))};
+  const jobs::JobStatus status{id, job.queue, jobs::JobPhase::kQueued,
+                               job.accepted_at, job.spec.occurrences > 0};
+  WriteRows write;
+  const site::RowKey job_key = CellRow(kJobTable, id.value);
+  write.transaction.conditions.push_back({job_key, {}});
+  write.transaction.writes.push_back({job_key, protocol::Encode(job), {}});
+  write.transaction.writes.push_back(
+      {CellRow(kStatusTable, id.value), protocol::Encode(status), {}});
+  write.span = std::min(kMaxWriteSpan, call.deadline - runtime::SteadyNow());
+  write.number = writes_.Open();
+  const std::uint64_t number = write.number;
+  const Duration span = write.span + kReplyMargin;
+  rings_.store.Send(std::move(write));
+  const std::optional<site::TransactionOutcome> outcome =
+      co_await writes_.Wait(number, span);
+  const bool stored =
+      outcome && (std::holds_alternative<site::Committed>(*outcome) ||
+                  std::holds_alternative<site::Conflict>(*outcome));
+  if (stored) {
+    statuses_.try_emplace(id, status);
+    const Duration took = runtime::SteadyNow() - call.arrived;
+    metrics_.Count(Counter::kCallsAccepted);
+    metrics_.Observe(Timing::kCallDuration, took);
+    log_.Log(Event::kJobAccepted, {{"id", id.value},
+                                   {"queue", call.queue.name.value},
+                                   {"account", call.account.value},
+                                   {"version", configuration_->version.value},
+                                   {"took_ms", ToMilliseconds(took)}});
+    co_return JsonResponse(codec_.caller.encode_phase(PhaseOf(id)));
+  }
+  if (outcome && std::holds_alternative<site::TurnedAway>(*outcome)) {
+    co_return Refuse(Reason::kStoreUnavailable, id, "not stored", call.arrived);
+  }
+  if (outcome && std::holds_alternative<site::Malformed>(*outcome)) {
+    co_return Refuse(Reason::kMalformedRequest, id, "refused by the table",
+                     call.arrived);
+  }
+  co_return Refuse(Reason::kOutcomeUnknown, id, "may be stored", call.arrived);
+}
+
+asio::awaitable<std::optional<bool>> JobFront::FindStatus(jobs::JobId id,
+                                                          TimePoint deadline) {
+  if (Knows(id)) co_return true;
+  const std::uint64_t number = reads_.Open();
+  rings_.store.Send(ReadRow{number, CellRow(kStatusTable, id.value)});
+  const std::optional<site::ReadOutcome> outcome = co_await reads_.Wait(
+      number, std::max(Duration{}, deadline - runtime::SteadyNow()));
+  if (!outcome) co_return std::nullopt;
+  const auto* page = std::get_if<site::RowPage>(&*outcome);
+  if (page == nullptr) co_return std::nullopt;
+  if (page->rows.empty()) co_return Knows(id);
+  try {
+    On(StatusSeen{protocol::DecodeJobStatus(page->rows.front().value)});
+  } catch (const Error& error) {
+    log_.Log(
+        Event::kRowUnreadable,
+        {{"table", kStatusTable}, {"key", id.value}, {"fault", error.what()}});
+    co_return std::nullopt;
+  }
+  co_return true;
+}
+
+JobFront::Answer JobFront::Show(Call call, jobs::JobId id) {
+  const std::optional<bool> found = co_await FindStatus(id, call.deadline);
+  if (!found) {
+    co_return Refuse(Reason::kOutcomeUnknown, id, "status not read",
+                     call.arrived);
+  }
+  if (!*found) {
+    co_return Refuse(Reason::kUnknownJob, id, "show", call.arrived);
+  }
+  co_return JsonResponse(codec_.caller.encode_phase(PhaseOf(id)));
+}
+
+JobFront::Answer JobFront::Cancel(Call call, jobs::JobId id) {
+  const std::optional<bool> found = co_await FindStatus(id, call.deadline);
+  if (found && !*found) {
+    co_return Refuse(Reason::kUnknownJob, id, "cancel", call.arrived);
+  }
+  if (!found) {
+    co_return Refuse(Reason::kOutcomeUnknown, id, "status not read",
+                     call.arrived);
+  }
+  if (jobs::IsFinal(PhaseOf(id))) co_return http::Response{};
+  WriteRows write;
+  write.transaction.writes.push_back({CancellationKey(id), "", {}});
+  write.span = std::min(kMaxWriteSpan, call.deadline - runtime::SteadyNow());
+  write.number = writes_.Open();
+  const std::uint64_t number = write.number;
+  const Duration span = write.span + kReplyMargin;
+  rings_.store.Send(std::move(write));
+  const std::optional<site::TransactionOutcome> outcome =
+      co_await writes_.Wait(number, span);
+  if (outcome && std::holds_alternative<site::Committed>(*outcome)) {
+    cancelled_.insert(id);
+    metrics_.Count(Counter::kCallsCancelled);
+    log_.Log(
+        Event::kCancellationAccepted,
+        {{"id", id.value},
+         {"took_ms", ToMilliseconds(runtime::SteadyNow() - call.arrived)}});
+    co_return JsonResponse(codec_.caller.encode_phase(PhaseOf(id)));
+  }
+  if (outcome && std::holds_alternative<site::TurnedAway>(*outcome)) {
+    co_return Refuse(Reason::kStoreUnavailable, id, "not cancelled",
+                     call.arrived);
+  }
+  co_return Refuse(Reason::kOutcomeUnknown, id, "may be cancelled",
+                   call.arrived);
+}
+
+http::Response JobFront::CountPending(const Call& call) {
+  const auto pending = static_cast<std::size_t>(
+      std::count_if(statuses_.begin(), statuses_.end(), [&](const auto& entry) {
+        const jobs::JobStatus& status = entry.second;
+        return status.queue == call.queue.name && !status.timed &&
+               PhaseOf(status.job) == jobs::JobPhase::kQueued;
+      }));
+  return JsonResponse(codec_.caller.encode_pending(pending));
+}
+
+jobs::JobPhase JobFront::PhaseOf(const jobs::JobId& id) const {
+  const jobs::JobPhase phase = statuses_.at(id).phase;
+  if (jobs::IsFinal(phase) || !cancelled_.contains(id)) return phase;
+  return jobs::JobPhase::kCancelled;
+}
+
+http::Response JobFront::Refuse(Reason reason, const jobs::JobId& id,
+                                const std::string& detail, TimePoint arrived) {
+  metrics_.CountRefusal(reason);
+  const std::uint64_t version =
+      configuration_ == nullptr ? 0 : configuration_->version.value;
+  log_.Log(reason == Reason::kOutcomeUnknown ? Event::kJobAnswerUnknown
+                                             : Event::kJobRefused,
+           {{"id", id.value},
+            {"reason", NameOf(reason)},
+            {"detail", detail},
+            {"version", version},
+            {"took_ms", ToMilliseconds(runtime::SteadyNow() - arrived)}});
+  http::Response response;
+  response.status = HttpStatusOf(reason);
+  response.headers.push_back({"Content-Type", "application/json"});
+  if (reason == Reason::kStoreUnavailable ||
+      reason == Reason::kNoConfiguration) {
+    response.headers.push_back(
+        {"Retry-After", std::string(kRetryAfterSeconds)});
+  }
+  response.body = "{\"reason\":\"" + std::string(NameOf(reason)) + "\"}";
+  return response;
+}
+
+}  // namespace jasminespar::jobserver
--- /dev/null
+++ b/packages/jobserver/src/job_server.cc
@@ -0,0 +1,298 @@
+#include "jasminespar/jobserver/job_server.h"
+
+#include <array>
+#include <boost/asio/post.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <csignal>
+#include <fstream>
+#include <sstream>
+#include <utility>
+
+#include "jasminespar/jobserver/dispatch_duty.h"
+#include "jasminespar/jobserver/job_front.h"
+#include "jasminespar/jobserver/store_link.h"
+#include "jasminespar/jobserver/telemetry_writer.h"
+#include "jasminespar/jobserver/worker_link.h"
+#include "jasminespar/runtime/clock.h"
+
+namespace jasminespar::jobserver {
+
+namespace asio = boost::asio;
+using runtime::Channel;
+using runtime::Duty;
+using telemetry::Event;
+
+namespace {
+
+/// The balancer looks away after two missed questions, a second apart.
+constexpr Duration kBalancerDelay = 2600ms;
+
+constexpr Duration kDrainPoll = 50ms;
+
+/// Left of the grace when the process ends whatever is in progress.
+constexpr Duration kExitMargin = 700ms;
+
+/// The settings file may change without a signal.
+constexpr Duration kSettingsPoll = 5s;
+
+/// A request's header and rest must come within this time, as the operator's
+/// limits say for callers.
+constexpr Duration kReadTimeout = 3s;
+constexpr Duration kIdleTimeout = 60s;
+
+JobFrontSettings ToFrontSettings(const settings::JobServerSettings& settings) {
+  JobFrontSettings front;
+  front.callers = settings.callers;
+  front.readiness = settings.readiness;
+  front.limits.max_connections = settings.max_connections;
+  front.limits.read_timeout = kReadTimeout;
+  front.limits.idle_timeout = kIdleTimeout;
+  return front;
+}
+
+jobs::DispatcherSettings ToDispatcherSettings(
+    const settings::JobServerSettings& settings) {
+  jobs::DispatcherSettings dispatcher;
+  dispatcher.max_lease = settings.max_lease;
+  dispatcher.status_retention = settings.status_retention;
+  dispatcher.gang_patience = settings.gang_patience;
+  dispatcher.early_start = settings.early_start;
+  dispatcher.stop_limit = settings.stop_limit;
+  dispatcher.checkpoint_interval = settings.checkpoint_interval;
+  return dispatcher;
+}
+
+site::TableClientSettings ToTableSettings(
+    const settings::JobServerSettings& settings) {
+  site::TableClientSettings table;
+  table.address = settings.table;
+  return table;
+}
+
+std::string ReadText(const std::string& path) {
+  std::ifstream file(path);
+  std::ostringstream text;
+  text << file.rdbuf();
+  return text.str();
+}
+
+}  // namespace
+
+class JobServer::Impl {
+ public:
+  Impl(const settings::JobServerSettings& settings, std::string settings_path,
+       const site::SiteCodec& codec)
+      : settings_(settings),
+        settings_path_(std::move(settings_path)),
+        settings_text_(ReadText(settings_path_)),
+        rings_(settings.ring_capacity),
+        log_(rings_.main_to_telemetry),
+        front_(front_duty_, ToFrontSettings(settings), codec,
+               {rings_.front_to_store, rings_.front_to_telemetry}, metrics_),
+        store_(store_duty_, ToTableSettings(settings), codec,
+               {rings_.store_to_front, rings_.store_to_dispatch,
+                rings_.store_to_telemetry},
+               metrics_),
+        dispatch_(dispatch_duty_, settings.instance,
+                  ToDispatcherSettings(settings),
+                  {rings_.dispatch_to_store, rings_.dispatch_to_workers,
+                   rings_.dispatch_to_telemetry},
+                  metrics_),
+        workers_(worker_duty_, codec.worker, rings_.workers_to_dispatch,
+                 metrics_),
+        telemetry_(telemetry_duty_, settings.metrics, metrics_) {
+    JoinRings();
+  }
+
+  void Run() {
+    StartDuties();
+    log_.Log(Event::kStarted,
+             {{"instance", settings_.instance.value},
+              {"data_centre", settings_.data_centre.value},
+              {"table", settings_.table.host},
+              {"max_lease_ms", ToMilliseconds(settings_.max_lease)}});
+    asio::signal_set stop_signals(main_context_, SIGTERM, SIGINT);
+    stop_signals.async_wait(
+        [this](const boost::system::error_code& error, int) {
+          if (!error) BeginShutdown();
+        });
+    asio::signal_set reload_signal(main_context_, SIGHUP);
+    AwaitReload(reload_signal);
+    PollSettings();
+    main_context_.run();
+    for (Duty* duty : duties_) duty->Stop();
+    telemetry_.Flush();
+  }
+
+ private:
+  struct Rings {
+    explicit Rings(std::size_t capacity)
+        : front_to_store(capacity),
+          front_to_telemetry(capacity),
+          store_to_front(capacity),
+          store_to_dispatch(capacity),
+          store_to_telemetry(capacity),
+          dispatch_to_store(capacity),
+          dispatch_to_workers(capacity),
+          dispatch_to_telemetry(capacity),
+          workers_to_dispatch(capacity),
+          main_to_front(capacity),
+          main_to_dispatch(capacity),
+          main_to_telemetry(capacity) {}
+    Channel<ToStore> front_to_store;
+    Channel<ToTelemetry> front_to_telemetry;
+    Channel<ToFront> store_to_front;
+    Channel<ToDispatch> store_to_dispatch;
+    Channel<ToTelemetry> store_to_telemetry;
+    Channel<ToStore> dispatch_to_store;
+    Channel<ToWorkers> dispatch_to_workers;
+    Channel<ToTelemetry> dispatch_to_telemetry;
+    Channel<ToDispatch> workers_to_dispatch;
+    Channel<ToFront> main_to_front;
+    Channel<ToDispatch> main_to_dispatch;
+    Channel<ToTelemetry> main_to_telemetry;
+  };
+
+  template <typename Message, typename Consumer>
+  void Join(Channel<Message>& channel, Duty& producer, Duty& consumer_duty,
+            Consumer& consumer) {
+    runtime::Join(channel, producer, consumer_duty,
+                  [&consumer](Message&& message) {
+                    consumer.Handle(std::move(message));
+                  });
+  }
+
+  void JoinRings() {
+    runtime::Join(
+        rings_.front_to_store, front_duty_, store_duty_,
+        [this](ToStore&& message) { store_.HandleFront(std::move(message)); });
+    runtime::Join(rings_.dispatch_to_store, dispatch_duty_, store_duty_,
+                  [this](ToStore&& message) {
+                    store_.HandleDispatch(std::move(message));
+                  });
+    Join(rings_.front_to_telemetry, front_duty_, telemetry_duty_, telemetry_);
+    Join(rings_.store_to_front, store_duty_, front_duty_, front_);
+    Join(rings_.store_to_dispatch, store_duty_, dispatch_duty_, dispatch_);
+    Join(rings_.store_to_telemetry, store_duty_, telemetry_duty_, telemetry_);
+    Join(rings_.dispatch_to_workers, dispatch_duty_, worker_duty_, workers_);
+    Join(rings_.dispatch_to_telemetry, dispatch_duty_, telemetry_duty_,
+         telemetry_);
+    Join(rings_.workers_to_dispatch, worker_duty_, dispatch_duty_, dispatch_);
+    Join(rings_.main_to_front, main_duty_, front_duty_, front_);
+    Join(rings_.main_to_dispatch, main_duty_, dispatch_duty_, dispatch_);
+    Join(rings_.main_to_telemetry, main_duty_, telemetry_duty_, telemetry_);
+  }
+
+  void StartDuties() {
+    // Each Start runs on its own thread, as all else of its duty does.
+    asio::post(front_duty_.context(), [this] { front_.Start(); });
+    asio::post(store_duty_.context(), [this] { store_.Start(); });
+    asio::post(dispatch_duty_.context(), [this] { dispatch_.Start(); });
+    asio::post(telemetry_duty_.context(), [this] { telemetry_.Start(); });
+    for (Duty* duty : duties_) duty->Start();
+  }
+
+  void AwaitReload(asio::signal_set& signal) {
+    signal.async_wait(
+        [this, &signal](const boost::system::error_code& error, int) {
+          if (error) return;
+          Reload("signal");
+          AwaitReload(signal);
+        });
+  }
+
+  void PollSettings() {
+    settings_timer_.expires_after(kSettingsPoll);
+    settings_timer_.async_wait([this](const boost::system::error_code& error) {
+      if (error) return;
+      if (ReadText(settings_path_) != settings_text_) Reload("poll");
+      PollSettings();
+    });
+  }
+
+  /// Takes over what may change while running; a faulty file changes nothing.
+  void Reload(std::string_view trigger) {
+    settings_text_ = ReadText(settings_path_);
+    const auto parsed =
+        settings::ParseJobServerSettings(settings_text_, settings_path_);
+    if (const auto* faults =
+            std::get_if<std::vector<settings::SettingFault>>(&parsed)) {
+      for (const settings::SettingFault& fault : *faults) {
+        log_.Log(Event::kSettingsFault, {{"fault", ToString(fault)}});
+      }
+      return;
+    }
+    const auto& reloaded = std::get<settings::JobServerSettings>(parsed);
+    rings_.main_to_dispatch.Send(
+        DispatcherSettingsChanged{ToDispatcherSettings(reloaded)});
+    settings_.shutdown_grace = reloaded.shutdown_grace;
+    log_.Log(Event::kSettingsReloaded,
+             {{"trigger", trigger},
+              {"max_lease_ms", ToMilliseconds(reloaded.max_lease)},
+              {"shutdown_grace_ms", ToMilliseconds(reloaded.shutdown_grace)}});
+  }
+
+  void BeginShutdown() {
+    log_.Log(Event::kStopping, {{"instance", settings_.instance.value}});
+    rings_.main_to_front.Send(DrainFront{});
+    rings_.main_to_dispatch.Send(LeaveCell{});
+    const TimePoint now = runtime::SteadyNow();
+    leave_at_ = now + kBalancerDelay;
+    give_up_at_ = now + settings_.shutdown_grace - kExitMargin;
+    AwaitDrained(kDrainPoll);
+  }
+
+  void AwaitDrained(Duration pause) {
+    drain_timer_.expires_after(pause);
+    drain_timer_.async_wait([this](const boost::system::error_code& error) {
+      if (error) return;
+      const TimePoint now = runtime::SteadyNow();
+      const bool drained = now >= leave_at_ && !dispatch_.owns() &&
+                           front_.requests_in_progress() == 0;
+      if (drained || now >= give_up_at_) {
+        log_.Log(Event::kStopped, {{"instance", settings_.instance.value},
+                                   {"drained", drained}});
+        main_context_.stop();
+        return;
+      }
+      AwaitDrained(kDrainPoll);
+    });
+  }
+
+  settings::JobServerSettings settings_;
+  std::string settings_path_;
+  std::string settings_text_;
+  telemetry::Metrics metrics_;
+  Rings rings_;
+  Duty main_duty_{"main"};  // Never started: its context is run by Run.
+  asio::io_context& main_context_ = main_duty_.context();
+  EventLog log_;
+  Duty front_duty_{"job_front"};
+  Duty store_duty_{"store_link"};
+  Duty dispatch_duty_{"dispatch"};
+  Duty worker_duty_{"worker_link"};
+  Duty telemetry_duty_{"telemetry"};
+  std::array<Duty*, 5> duties_{&front_duty_, &store_duty_, &dispatch_duty_,
+                               &worker_duty_, &telemetry_duty_};
+  JobFront front_;
+  StoreLink store_;
+  DispatchDuty dispatch_;
+  WorkerLink workers_;
+  TelemetryWriter telemetry_;
+  TimePoint leave_at_;
+  TimePoint give_up_at_;
+  asio::steady_timer drain_timer_{main_context_};
+  asio::steady_timer settings_timer_{main_context_};
+};
+
+JobServer::JobServer(const settings::JobServerSettings& settings,
+                     const std::string& settings_path,
+                     const site::SiteCodec& codec)
+    : impl_(std::make_unique<Impl>(settings, settings_path, codec)) {}
+
+JobServer::~JobServer() = default;
+
+void JobServer::Run() { impl_->Run(); }
+
+}  // namespace jasminespar::jobserver
--- /dev/null
+++ b/packages/jobserver/src/store_link.cc
@@ -0,0 +1,388 @@
+#include "jasminespar/jobserver/store_link.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <map>
+#include <utility>
+
+#include "jasminespar/core/error.h"
+#include "jasminespar/core/overloaded.h"
+#include "jasminespar/jobserver/table_layout.h"
+#include "jasminespar/protocol/job_records.h"
+#include "jasminespar/runtime/clock.h"
+#include "jasminespar/runtime/sleep.h"
+
+namespace jasminespar::jobserver {
+
+namespace asio = boost::asio;
+using telemetry::Event;
+
+namespace {
+
+/// Short, so that a connection that has gone silent is noticed in time for a
+/// change of the configuration.
+constexpr Duration kWatchWait = 1s;
+
+constexpr Duration kConfigurationPace = 50ms;
+constexpr Duration kStatusPace = 60ms;
+constexpr Duration kOwnerPace = 600ms;
+constexpr Duration kJobPace = 5ms;
+constexpr Duration kWorkerPace = 400ms;
+
+constexpr Duration kRetryPause = 100ms;
+constexpr Duration kReadSpan = 2s;
+
+/// The dispatcher is told that the table answers at most this often.
+constexpr Duration kTableSeenInterval = 300ms;
+
+/// The table counts as lost after failing for this long.
+constexpr Duration kLostAfter = 1s;
+
+}  // namespace
+
+StoreLink::StoreLink(runtime::Duty& duty,
+                     const site::TableClientSettings& settings,
+                     const site::SiteCodec& codec, const Rings& rings,
+                     telemetry::Metrics& metrics)
+    : duty_(duty),
+      codec_(codec),
+      rings_(rings),
+      metrics_(metrics),
+      log_(rings.telemetry),
+      client_(duty.context(), settings, codec.table,
+              [this](site::TableHealth health) { Observe(health); }) {}
+
+void StoreLink::Start() {
+  FollowConfiguration();
+  FollowStatuses();
+  FollowOwner();
+}
+
+void StoreLink::HandleFront(ToStore message) {
+  std::visit(Overloaded{
+                 [this](WriteRows& write) {
+                   asio::co_spawn(duty_.context(),
+                                  Write(std::move(write), true),
+                                  asio::detached);
+                 },
+                 [this](ReadRow& read) {
+                   asio::co_spawn(duty_.context(), Read(std::move(read)),
+                                  asio::detached);
+                 },
+                 [](BeginOwning&) {},  // Only the dispatcher owns.
+                 [](EndOwning&) {},
+             },
+             message);
+}
+
+void StoreLink::HandleDispatch(ToStore message) {
+  std::visit(
+      Overloaded{
+          [this](WriteRows& write) {
+            asio::co_spawn(duty_.context(), Write(std::move(write), false),
+                           asio::detached);
+          },
+          [](ReadRow&) {},  // Only the front asks for single rows.
+          [this](BeginOwning& begin) {
+            owned_ = begin.epoch;
+            asio::co_spawn(duty_.context(), Load(begin.epoch), asio::detached);
+          },
+          [this](EndOwning&) { owned_.reset(); },
+      },
+      message);
+}
+
+asio::awaitable<void> StoreLink::Write(WriteRows request, bool for_front) {
+  const TimePoint begun = runtime::SteadyNow();
+  site::TransactionOutcome outcome =
+      co_await client_.Transact(std::move(request.transaction), request.span);
+  metrics_.Observe(telemetry::Timing::kStoreRequest,
+                   runtime::SteadyNow() - begun);
+  WriteEnded ended{request.number, std::move(outcome)};
+  if (for_front) {
+    rings_.front.Send(std::move(ended));
+  } else {
+    rings_.dispatch.Send(std::move(ended));
+  }
+}
+
+asio::awaitable<void> StoreLink::Read(ReadRow request) {
+  site::RowRange range{request.key.table, request.key.part, request.key.key,
+                       request.key.key + '\0'};
+  site::ReadOutcome outcome =
+      co_await client_.ReadAll(std::move(range), kReadSpan);
+  rings_.front.Send(ReadEnded{request.number, std::move(outcome)});
+}
+
+asio::awaitable<void> StoreLink::FollowTable(Follow follow) {
+  while (follow.wanted()) {
+    site::RowRange range{follow.table, follow.part, "", ""};
+    site::ReadOutcome outcome =
+        co_await client_.ReadAll(std::move(range), kReadSpan);
+    if (!follow.wanted()) co_return;
+    auto* page = std::get_if<site::RowPage>(&outcome);
+    if (page == nullptr) {
+      co_await runtime::Sleep(duty_.context(), kRetryPause);
+      continue;
+    }
+    std::set<std::string> keys;
+    for (const site::Row& row : page->rows) {
+      keys.insert(row.key.key);
+      follow.on_row(row);
+    }
+    if (follow.on_whole) follow.on_whole(keys);
+    co_await FollowChanges(follow, page->version);
+  }
+}
+
+asio::awaitable<void> StoreLink::FollowChanges(const Follow& follow,
+                                               site::RowVersion after) {
+  while (follow.wanted()) {
+    site::Watch watch{follow.table, after, kWatchWait};
+    site::WatchOutcome outcome = co_await client_.Changes(std::move(watch));
+    if (!follow.wanted()) co_return;
+    if (std::holds_alternative<site::HistoryGone>(outcome)) co_return;
+    auto* page = std::get_if<site::RowPage>(&outcome);
+    if (page == nullptr) {
+      co_await runtime::Sleep(duty_.context(), kRetryPause);
+      continue;
+    }
+    after = std::max(after, page->version);
+    for (const site::Row& row : page->rows) {
+      if (row.key.part == follow.part) follow.on_row(row);
+    }
+    if (!page->rows.empty()) {
+      co_await runtime::Sleep(duty_.context(), follow.pace);
+    }
+  }
+}
+
+void StoreLink::FollowConfiguration() {
+  Follow follow;
+  follow.table = std::string(codec_.operators.configuration_table);
+  follow.part = codec_.operators.configuration_row.part;
+  follow.pace = kConfigurationPace;
+  follow.on_row = [this](const site::Row& row) { TakeConfiguration(row); };
+  follow.wanted = [] { return true; };
+  asio::co_spawn(duty_.context(), FollowTable(std::move(follow)),
+                 asio::detached);
+}
+
+void StoreLink::FollowStatuses() {
+  Follow follow;
+  follow.table = std::string(kStatusTable);
+  follow.part = std::string(kCellPart);
+  follow.pace = kStatusPace;
+  follow.on_row = [this](const site::Row& row) { TakeStatus(row); };
+  follow.on_whole = [this](const std::set<std::string>&) {
+    rings_.front.Send(StatusesLoaded{});
+  };
+  follow.wanted = [] { return true; };
+  asio::co_spawn(duty_.context(), FollowTable(std::move(follow)),
+                 asio::detached);
+}
+
+void StoreLink::FollowOwner() {
+  Follow follow;
+  follow.table = std::string(kOwnerTable);
+  follow.part = std::string(kCellPart);
+  follow.pace = kOwnerPace;
+  follow.on_row = [this](const site::Row& row) { TakeOwner(row); };
+  follow.on_whole = [this](const std::set<std::string>& keys) {
+    if (keys.empty()) rings_.dispatch.Send(OwnerAbsent{});
+  };
+  follow.wanted = [] { return true; };
+  asio::co_spawn(duty_.context(), FollowTable(std::move(follow)),
+                 asio::detached);
+}
+
+asio::awaitable<void> StoreLink::Load(Epoch epoch) {
+  const auto wanted = [this, epoch] { return owned_ == epoch; };
+  std::map<std::string, std::vector<site::Row>> tables;
+  for (const std::string_view table : {kProgressTable, kWorkerTable}) {
+    while (wanted() && !tables.contains(std::string(table))) {
+      site::RowRange range{std::string(table), std::string(kCellPart), "", ""};
+      site::ReadOutcome outcome =
+          co_await client_.ReadAll(std::move(range), kReadSpan);
+      if (auto* page = std::get_if<site::RowPage>(&outcome)) {
+        tables[std::string(table)] = std::move(page->rows);
+      } else {
+        co_await runtime::Sleep(duty_.context(), kRetryPause);
+      }
+    }
+  }
+  if (!wanted()) co_return;
+  loaded_progress_.clear();
+  for (const site::Row& row : tables[std::string(kProgressTable)]) {
+    try {
+      loaded_progress_[row.key.key] = protocol::DecodeJobProgress(row.value);
+    } catch (const Error& error) {
+      ReportUnreadable(row, error.what());
+    }
+  }
+  for (const site::Row& row : tables[std::string(kWorkerTable)]) {
+    try {
+      rings_.dispatch.Send(
+          EnrolledSeen{epoch, protocol::DecodeWorkerEnrolled(row.value)});
+    } catch (const Error& error) {
+      ReportUnreadable(row, error.what());
+    }
+  }
+  FollowWorkers(epoch);
+}
+
+void StoreLink::FollowWorkers(Epoch epoch) {
+  listed_workers_.clear();
+  workers_loaded_ = false;
+  Follow follow;
+  follow.table = std::string(codec_.operators.worker_table);
+  follow.part = std::string(codec_.operators.worker_part);
+  follow.pace = kWorkerPace;
+  follow.on_row = [this, epoch](const site::Row& row) {
+    TakeWorker(row, epoch);
+  };
+  follow.on_whole = [this, epoch](const std::set<std::string>& keys) {
+    for (const std::string& name : std::set<std::string>(listed_workers_)) {
+      if (keys.contains(name)) continue;
+      listed_workers_.erase(name);
+      rings_.dispatch.Send(WorkerGone{epoch, {name}});
+    }
+    if (!std::exchange(workers_loaded_, true)) FollowJobs(epoch);
+  };
+  follow.wanted = [this, epoch] { return owned_ == epoch; };
+  asio::co_spawn(duty_.context(), FollowTable(std::move(follow)),
+                 asio::detached);
+}
+
+void StoreLink::FollowJobs(Epoch epoch) {
+  jobs_loaded_ = false;
+  Follow follow;
+  follow.table = std::string(kJobTable);
+  follow.part = std::string(kCellPart);
+  follow.pace = kJobPace;
+  follow.on_row = [this, epoch](const site::Row& row) { TakeJob(row, epoch); };
+  follow.on_whole = [this, epoch](const std::set<std::string>&) {
+    if (std::exchange(jobs_loaded_, true)) return;
+    for (const std::string& job : cancelled_) {
+      rings_.dispatch.Send(CancellationSeen{{job}});
+    }
+    loaded_progress_.clear();
+    rings_.dispatch.Send(LoadFinished{epoch});
+  };
+  follow.wanted = [this, epoch] { return owned_ == epoch; };
+  asio::co_spawn(duty_.context(), FollowTable(std::move(follow)),
+                 asio::detached);
+}
+
+void StoreLink::TakeConfiguration(const site::Row& row) {
+  if (row.key != codec_.operators.configuration_row || row.deleted) return;
+  auto decoded = codec_.operators.decode_configuration(row.value);
+  if (const auto* fault = std::get_if<site::DecodeFault>(&decoded)) {
+    ReportUnreadable(row, fault->message);
+    return;
+  }
+  auto& configuration = std::get<jobs::SiteConfiguration>(decoded);
+  if (configuration.version.value <= configuration_version_) return;
+  configuration_version_ = configuration.version.value;
+  log_.Log(Event::kRevisionApplied,
+           {{"version", configuration_version_},
+            {"queues", configuration.queues.size()},
+            {"accounts", configuration.accounts.size()},
+            {"row", row.version.value}});
+  metrics_.Count(telemetry::Counter::kRevisionsApplied);
+  const auto shared =
+      std::make_shared<const jobs::SiteConfiguration>(std::move(configuration));
+  rings_.front.Send(ConfigurationSeen{shared});
+  rings_.dispatch.Send(ConfigurationSeen{shared});
+}
+
+void StoreLink::TakeStatus(const site::Row& row) {
+  if (row.key.key.starts_with(kCancellationPrefix)) {
+    const std::string job = row.key.key.substr(kCancellationPrefix.size());
+    if (row.deleted) {
+      cancelled_.erase(job);
+      return;
+    }
+    if (!cancelled_.insert(job).second) return;
+    rings_.front.Send(CancellationSeen{{job}});
+    rings_.dispatch.Send(CancellationSeen{{job}});
+    return;
+  }
+  if (row.deleted) {
+    rings_.front.Send(StatusForgotten{{row.key.key}});
+    return;
+  }
+  try {
+    rings_.front.Send(StatusSeen{protocol::DecodeJobStatus(row.value)});
+  } catch (const Error& error) {
+    ReportUnreadable(row, error.what());
+  }
+}
+
+void StoreLink::TakeOwner(const site::Row& row) {
+  if (row.key.key != kOwnerKey || row.deleted) return;
+  try {
+    rings_.dispatch.Send(
+        OwnerSeen{protocol::DecodeOwnerRow(row.value), row.version});
+  } catch (const Error& error) {
+    ReportUnreadable(row, error.what());
+  }
+}
+
+void StoreLink::TakeJob(const site::Row& row, Epoch epoch) {
+  if (row.deleted) return;
+  try {
+    JobSeen seen{epoch, protocol::DecodeAcceptedJob(row.value), {}};
+    const auto progress = loaded_progress_.find(row.key.key);
+    if (progress != loaded_progress_.end()) seen.progress = progress->second;
+    rings_.dispatch.Send(std::move(seen));
+  } catch (const Error& error) {
+    ReportUnreadable(row, error.what());
+  }
+}
+
+void StoreLink::TakeWorker(const site::Row& row, Epoch epoch) {
+  if (row.deleted) {
+    if (listed_workers_.erase(row.key.key) > 0) {
+      rings_.dispatch.Send(WorkerGone{epoch, {row.key.key}});
+    }
+    return;
+  }
+  auto decoded = codec_.operators.decode_worker(row);
+  if (const auto* fault = std::get_if<site::DecodeFault>(&decoded)) {
+    if (listed_workers_.erase(row.key.key) > 0) {
+      rings_.dispatch.Send(WorkerGone{epoch, {row.key.key}});
+    }
+    ReportUnreadable(row, fault->message);
+    return;
+  }
+  listed_workers_.insert(row.key.key);
+  rings_.dispatch.Send(
+      WorkerSeen{epoch, std::move(std::get<jobs::WorkerEntry>(decoded))});
+}
+
+void StoreLink::ReportUnreadable(const site::Row& row,
+                                 const std::string& what) {
+  log_.Log(Event::kRowUnreadable, {{"table", row.key.table},
+                                   {"key", row.key.key},
+                                   {"version", row.version.value},
+                                   {"fault", what}});
+}
+
+void StoreLink::Observe(site::TableHealth health) {
+  const TimePoint now = runtime::SteadyNow();
+  if (health == site::TableHealth::kFailed) {
+    metrics_.Count(telemetry::Counter::kStoreErrors);
+    if (!std::exchange(failing_, true)) failing_since_ = now;
+    return;
+  }
+  if (std::exchange(failing_, false) && now - failing_since_ > kLostAfter) {
+    log_.Log(Event::kStoreBack,
+             {{"after_ms", ToMilliseconds(now - failing_since_)}});
+  }
+  if (now - last_seen_sent_ < kTableSeenInterval) return;
+  last_seen_sent_ = now;
+  rings_.dispatch.Send(TableSeen{});
+}
+
+}  // namespace jasminespar::jobserver
--- /dev/null
+++ b/packages/jobserver/src/telemetry_writer.cc
@@ -0,0 +1,65 @@
+#include "jasminespar/jobserver/telemetry_writer.h"
+
+#include <cstdio>
+#include <memory>
+#include <utility>
+
+#include "jasminespar/core/overloaded.h"
+
+namespace jasminespar::jobserver {
+
+namespace {
+
+/// Lines of this time are written in one block.
+constexpr Duration kFlushDelay = 100ms;
+
+http::Response RejectUnread(Reason reason) {
+  http::Response response;
+  response.status = HttpStatusOf(reason);
+  return response;
+}
+
+}  // namespace
+
+TelemetryWriter::TelemetryWriter(runtime::Duty& duty,
+                                 const configuration::Address& address,
+                                 telemetry::Metrics& metrics)
+    : duty_(duty),
+      metrics_(metrics),
+      server_(
+          duty.context(), address.host, address.port, http::ServerLimits{},
+          [this](http::Request request,
+                 const std::shared_ptr<http::ConnectionState>&)
+              -> boost::asio::awaitable<http::Response> {
+            http::Response response;
+            if (http::PathOf(request.target) == "/metrics") {
+              response.body = metrics_.Render();
+            } else {
+              response.status = HttpStatusOf(Reason::kNotFound);
+            }
+            co_return response;
+          },
+          RejectUnread),
+      flush_timer_(duty.context()) {}
+
+void TelemetryWriter::Start() { server_.Start(); }
+
+void TelemetryWriter::Handle(ToTelemetry message) {
+  std::visit(Overloaded{[this](LogLine& line) { block_ += line.text; }},
+             message);
+  if (std::exchange(flush_scheduled_, true)) return;
+  flush_timer_.expires_after(kFlushDelay);
+  flush_timer_.async_wait([this](const boost::system::error_code& error) {
+    flush_scheduled_ = false;
+    if (!error) Flush();
+  });
+}
+
+void TelemetryWriter::Flush() {
+  // Only this duty waits when the reader of the log is slow.
+  std::fwrite(block_.data(), 1, block_.size(), stdout);
+  std::fflush(stdout);
+  block_.clear();
+}
+
+}  // namespace jasminespar::jobserver
--- /dev/null
+++ b/packages/jobserver/src/worker_link.cc
@@ -0,0 +1,76 @@
+#include "jasminespar/jobserver/worker_link.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include "jasminespar/core/error.h"
+#include "jasminespar/core/overloaded.h"
+#include "jasminespar/runtime/clock.h"
+
+namespace jasminespar::jobserver {
+
+namespace asio = boost::asio;
+
+namespace {
+
+/// A worker answers an order within milliseconds; a slow one within a few
+/// hundred.
+constexpr Duration kOrderTimeout = 500ms;
+
+/// On top of the time that a look waits for an end.
+constexpr Duration kLookMargin = 600ms;
+
+/// A worker serves 64 connections for all instances.
+constexpr std::size_t kConnectionsPerWorker = 8;
+
+Duration TimeoutOf(const jobs::WorkerOrder& order) {
+  if (const auto* look = std::get_if<jobs::LookAtWorker>(&order)) {
+    return look->wait + kLookMargin;
+  }
+  return kOrderTimeout;
+}
+
+}  // namespace
+
+WorkerLink::WorkerLink(runtime::Duty& duty, const site::WorkerCodec& codec,
+                       runtime::Channel<ToDispatch>& dispatch,
+                       telemetry::Metrics& metrics)
+    : duty_(duty), codec_(codec), dispatch_(dispatch), metrics_(metrics) {}
+
+void WorkerLink::Handle(ToWorkers message) {
+  std::visit(Overloaded{[this](ForwardOrder& forward) {
+               asio::co_spawn(duty_.context(), Carry(std::move(forward)),
+                              asio::detached);
+             }},
+             message);
+}
+
+asio::awaitable<void> WorkerLink::Carry(ForwardOrder forward) {
+  const std::shared_ptr<http::Client> client = ClientOf(forward.order);
+  http::Request request = codec_.encode_order(forward.order, forward.epoch);
+  jobs::OrderEnded ended{forward.order.order, forward.order.worker,
+                         jobs::OrderUnanswered{}};
+  const Duration timeout = TimeoutOf(forward.order.what);
+  try {
+    const http::Response response =
+        co_await client->Send(std::move(request), timeout);
+    ended.outcome = codec_.decode_answer(forward.order, response);
+  } catch (const Error& error) {
+    // The dispatcher logs it: the outcome says that there was no answer.
+    metrics_.CountRetry(error.reason());
+  }
+  dispatch_.Send(OrderReturned{forward.epoch, std::move(ended)});
+}
+
+std::shared_ptr<http::Client> WorkerLink::ClientOf(
+    const jobs::SendOrder& order) {
+  std::shared_ptr<http::Client>& client =
+      clients_[Address(order.host, order.port)];
+  if (client == nullptr) {
+    client = std::make_shared<http::Client>(duty_.context(), order.host,
+                                            order.port, kConnectionsPerWorker);
+  }
+  return client;
+}
+
+}  // namespace jasminespar::jobserver
