--- a/packages/daemon/include/jasminespar/daemon/peer_link.h
+++ b/packages/daemon/include/jasminespar/daemon/peer_link.h
@@ -18,7 +18,7 @@
 #include <vector>
 
 #include "jasminespar/daemon/duty_messages.h"
-#include "jasminespar/daemon/peer_connection.h"
+#include "jasminespar/peers/frame_connection.h"
 #include "jasminespar/membership/member_table.h"
 #include "jasminespar/membership/ownership.h"
 #include "jasminespar/membership/provisional.h"
@@ -59,7 +59,7 @@
   [[nodiscard]] std::size_t held_cells() const noexcept { return held_; }
 
  private:
-  using ConnectionPtr = std::shared_ptr<PeerConnection>;
+  using ConnectionPtr = std::shared_ptr<peers::FrameConnection>;
 
   /// Connection to one peer and the calls that wait for its replies.
   struct Outbound {
--- a/packages/daemon/src/peer_calls.cc
+++ b/packages/daemon/src/peer_calls.cc
@@ -8,6 +8,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <utility>
 
+#include "jasminespar/core/error.h"
 #include "jasminespar/core/overloaded.h"
 #include "jasminespar/daemon/peer_link.h"
 #include "jasminespar/runtime/clock.h"
@@ -20,16 +21,21 @@
 // Forwarded calls, this instance asking.
 
 PeerLink::ConnectionPtr PeerLink::MakeConnection() {
-  PeerHandlers handlers;
-  handlers.on_message = [this](std::uint64_t connection,
-                               protocol::PeerMessage message) {
-    OnPeerMessage(connection, std::move(message));
+  peers::FrameHandlers handlers;
+  handlers.on_frame = [this](std::uint64_t connection,
+                             const std::string& body) {
+    try {
+      OnPeerMessage(connection, protocol::DecodePeerMessage(body));
+      return true;
+    } catch (const Error&) {
+      return false;  // Not a peer, or another version.
+    }
   };
   handlers.on_closed = [this](std::uint64_t connection) {
     OnClosed(connection);
   };
-  return std::make_shared<PeerConnection>(context_, ++last_connection_,
-                                          std::move(handlers));
+  return std::make_shared<peers::FrameConnection>(context_, ++last_connection_,
+                                                  std::move(handlers));
 }
 
 PeerLink::Outbound* PeerLink::OutboundTo(const InstanceId& instance) {
@@ -53,7 +59,7 @@
   const std::uint64_t number = message.call.number;
   Outbound* outbound = OutboundTo(message.owner);
   if (outbound != nullptr &&
-      outbound->connection->Send(std::move(message.call))) {
+      outbound->connection->Send(protocol::Encode(std::move(message.call)))) {
     outbound->awaiting.insert(number);
     return;
   }
@@ -66,7 +72,8 @@
   const auto found = outbound_.find(message.owner);
   if (found == outbound_.end()) return;
   if (found->second.awaiting.erase(message.number) == 0) return;
-  found->second.connection->Send(protocol::AbandonedCall{message.number});
+  found->second.connection->Send(
+      protocol::Encode(protocol::AbandonedCall{message.number}));
 }
 
 void PeerLink::FailAwaiting(Outbound& outbound) {
@@ -151,7 +158,7 @@
     message.workers.insert(message.workers.end(), cell.workers.begin(),
                            cell.workers.end());
   }
-  found->second->Send(std::move(message));
+  found->second->Send(protocol::Encode(std::move(message)));
 }
 
 void PeerLink::OnForwardedCall(std::uint64_t connection,
@@ -166,13 +173,14 @@
   if (found == inbound_.end()) return;  // The asker has gone or will ask again.
   protocol::ForwardedReply reply{message.token.number,
                                  std::move(message.reply)};
-  if (!found->second->Send(std::move(reply))) found->second->Close();
+  if (!found->second->Send(protocol::Encode(std::move(reply))))
+    found->second->Close();
 }
 
 void PeerLink::On(PeerNotesFound message) {
   const auto found = inbound_.find(message.connection);
   if (found == inbound_.end()) return;
-  found->second->Send(std::move(message.notes));
+  found->second->Send(protocol::Encode(std::move(message.notes)));
 }
 
 void PeerLink::OnClosed(std::uint64_t connection) {
--- a/packages/daemon/src/peer_link.cc
+++ b/packages/daemon/src/peer_link.cc
@@ -171,9 +171,11 @@
   Outbound* outbound = OutboundTo(heartbeat.instance);
   if (outbound == nullptr) return;
   if (wants_notes) {
-    outbound->connection->Send(protocol::NotesRequest{revision_});
+    outbound->connection->Send(
+        protocol::Encode(protocol::NotesRequest{revision_}));
   }
-  if (wants_workers) outbound->connection->Send(protocol::WorkersRequest{});
+  if (wants_workers)
+    outbound->connection->Send(protocol::Encode(protocol::WorkersRequest{}));
 }
 
 // View and ownership.
--- a/packages/jobs/include/jasminespar/jobs/dispatcher.h
+++ b/packages/jobs/include/jasminespar/jobs/dispatcher.h
@@ -21,7 +21,9 @@
   double remote_slowdown = 3.0;  ///< Of tasks away from their rack.
   Duration checkpoint_interval = 1s;  ///< Work between two checkpoints.
   /// An owner that lost the cell may renew leases this long after a takeover.
-  Duration predecessor_renews = 2500ms;
+  Duration predecessor_renews = 5s;
+  /// It may start tasks this long after a takeover.
+  Duration predecessor_starts = 1500ms;
 };
 
 /// What the owner may do, by the age of its last confirmed sign of life.
--- a/packages/jobs/include/jasminespar/jobs/ownership.h
+++ b/packages/jobs/include/jasminespar/jobs/ownership.h
@@ -28,12 +28,14 @@
 };
 
 struct OwnershipSettings {
-  Duration beat_interval = 1s;       ///< Between the owner's signs of life.
-  Duration takeover_after = 3500ms;  ///< Of silence.
-  Duration rank_delay = 400ms;       ///< Between candidates, by their rank.
-  Duration claim_backoff = 1s;       ///< After a claim without success.
+  Duration beat_interval = 500ms;    ///< Between the owner's writes.
+  Duration takeover_after = 3500ms;  ///< Of silence in the table.
+  /// Of silence in the table and among peers.
+  Duration quick_takeover_after = 1500ms;
+  Duration rank_delay = 120ms;  ///< Between candidates, by their rank.
+  Duration claim_backoff = 1s;  ///< After a claim without success.
   /// The owner starts nothing once its last confirmed sign of life is older.
-  Duration start_limit = 3s;
+  Duration start_limit = 1300ms;
   /// It renews no lease once that sign is older.
   Duration renew_limit = 6s;
 };
@@ -61,6 +63,11 @@
   /// The table was read and has no owner row.
   void SeeNoOwner(TimePoint now);
 
+  /// A peer's sign of life came straight from it.
+  void HearPeer(const InstanceId& peer, TimePoint now) {
+    if (peer == row_.owner) owner_heard_at_ = now;
+  }
+
   /// The table answered something, so silence of the owner means silence.
   void SeeTable(TimePoint now) noexcept { last_table_ = now; }
 
@@ -104,6 +111,7 @@
   OwnerRow row_;
   RowVersion version_;
   TimePoint last_life_;
+  TimePoint owner_heard_at_;
   TimePoint last_table_;
   TimePoint confirmed_at_;
   TimePoint not_before_;
--- a/packages/jobs/src/dispatcher.cc
+++ b/packages/jobs/src/dispatcher.cc
@@ -72,7 +72,14 @@
                       .first->second;
   if (!job.live()) return;
   live_.insert(id);
+  if (cancelled_early_.erase(id) > 0) {
+    EndJob(job, JobPhase::kCancelled, now);
+    return;
+  }
   NoteJob(DecisionKind::kJobTaken, job, job.queue.name.value, now);
+  // A former owner that has not noticed yet may have seen it as well.
+  job.may_run_unseen =
+      loaded_ && now.steady - loaded_at_ < settings_.predecessor_starts;
   for (auto& [name, worker] : workers_) {
     for (auto& [task, hold] : worker.holds) {
       if (task.job == id) job.may_run_unseen = true;
@@ -82,7 +89,11 @@
 
 void Dispatcher::Impl::Take(const JobCancelled& cancelled, const Now& now) {
   JobState* job = FindJob(cancelled.job);
-  if (job == nullptr || !job->live()) return;
+  if (job == nullptr) {  // Two tables are followed, and one may be behind.
+    cancelled_early_.insert(cancelled.job);
+    return;
+  }
+  if (!job->live()) return;
   NoteJob(DecisionKind::kJobCancelled, *job, "", now);
   EndJob(*job, JobPhase::kCancelled, now);
 }
--- a/packages/jobs/src/dispatcher_impl.h
+++ b/packages/jobs/src/dispatcher_impl.h
@@ -163,7 +163,8 @@
   Epoch epoch_;
   std::shared_ptr<const SiteConfiguration> configuration_;
   std::map<JobId, JobState> jobs_;
-  std::set<JobId> live_;  ///< Jobs that are not final.
+  std::set<JobId> live_;             ///< Jobs that are not final.
+  std::set<JobId> cancelled_early_;  ///< Cancelled before they were found.
   WorkerMap workers_;
   std::map<OrderNumber, PendingOrder> orders_;
   std::set<JobId> dirty_;
--- a/packages/jobs/src/ownership.cc
+++ b/packages/jobs/src/ownership.cc
@@ -18,6 +18,7 @@
       self_(std::move(self)),
       rank_(rank),
       last_life_(now),
+      owner_heard_at_(now),
       last_table_(now),
       confirmed_at_(now),
       not_before_(now) {}
@@ -28,6 +29,7 @@
   if (version <= version_) return false;
   const bool lost = owned_ && !(row.owner == self_ && row.epoch == row_.epoch);
   last_life_ = now;
+  if (row.owner != row_.owner) owner_heard_at_ = now;
   table_read_ = true;
   version_ = version;
   row_ = row;
@@ -54,8 +56,10 @@
   }
   if (leaving_ || now < not_before_) return Wait{};
   if (now - last_table_ > kTableFresh) return Wait{};
+  const bool heard = now - owner_heard_at_ < settings_.quick_takeover_after;
   const Duration patience =
-      settings_.takeover_after + rank_ * settings_.rank_delay;
+      (heard ? settings_.takeover_after : settings_.quick_takeover_after) +
+      rank_ * settings_.rank_delay;
   // A row with this instance's own name was left by an earlier process of it.
   const bool free = row_.owner.value.empty() || row_.owner == self_;
   if (!free && now - last_life_ < patience) return Wait{};
--- a/packages/jobserver/include/jasminespar/jobserver/dispatch_duty.h
+++ b/packages/jobserver/include/jasminespar/jobserver/dispatch_duty.h
@@ -24,7 +24,7 @@
 class DispatchDuty {
  public:
   struct Rings {
-    runtime::Channel<ToStore>& store;
+    runtime::Channel<DispatchToStore>& store;
     runtime::Channel<ToWorkers>& workers;
     runtime::Channel<ToTelemetry>& telemetry;
   };
@@ -63,6 +63,7 @@
   void On(LoadFinished& finished);
   void On(OrderReturned& returned);
   void On(WriteEnded& ended);
+  void On(PeerHeard& heard);
   void On(LeaveCell&);
   void On(DispatcherSettingsChanged& changed);
 
@@ -80,8 +81,9 @@
   void SendOwnerWrite(OwnerWrite write);
   void SendNextCommit();
   void Transmit();
-  void OwnerWriteEnded(const site::TransactionOutcome& outcome);
+  void OwnerWriteEnded(const site::TableOutcome& outcome);
   void Won(jobs::RowVersion version);
+  void SeeOwnerIn(const site::Conflict& conflict);
   void BeginEpoch(Epoch epoch);
   void StepDown();
   [[nodiscard]] std::optional<jobs::RowVersion> OwnVersionIn(
--- a/packages/jobserver/include/jasminespar/jobserver/job_front.h
+++ b/packages/jobserver/include/jasminespar/jobserver/job_front.h
@@ -32,7 +32,7 @@
 class JobFront {
  public:
   struct Rings {
-    runtime::Channel<ToStore>& store;
+    runtime::Channel<FrontToStore>& store;
     runtime::Channel<ToTelemetry>& telemetry;
   };
 
@@ -100,8 +100,8 @@
   std::shared_ptr<const jobs::SiteConfiguration> configuration_;
   std::unordered_map<jobs::JobId, jobs::JobStatus> statuses_;
   std::set<jobs::JobId> cancelled_;
-  runtime::ReplyTable<site::TransactionOutcome> writes_;
-  runtime::ReplyTable<site::ReadOutcome> reads_;
+  runtime::ReplyTable<site::TableOutcome> writes_;
+  runtime::ReplyTable<site::TableOutcome> reads_;
   bool statuses_loaded_ = false;
   bool draining_ = false;
 };
--- a/packages/jobserver/include/jasminespar/jobserver/messages.h
+++ b/packages/jobserver/include/jasminespar/jobserver/messages.h
@@ -10,6 +10,7 @@
 #include <variant>
 #include <vector>
 
+#include "jasminespar/configuration/topology.h"
 #include "jasminespar/jobs/messages.h"
 #include "jasminespar/jobs/ownership.h"
 #include "jasminespar/site/table.h"
@@ -34,11 +35,11 @@
 struct StatusesLoaded {};
 struct WriteEnded {
   std::uint64_t number = 0;
-  site::TransactionOutcome outcome;
+  site::TableOutcome outcome;
 };
 struct ReadEnded {
   std::uint64_t number = 0;
-  site::ReadOutcome outcome;
+  site::TableOutcome outcome;
 };
 
 /// The instance is asked to leave: answer what comes, and be not ready.
@@ -82,6 +83,10 @@
   Epoch epoch;
   jobs::OrderEnded ended;
 };
+/// A sign of life came from a peer.
+struct PeerHeard {
+  InstanceId instance;
+};
 /// The instance is asked to leave: give the cell away.
 struct LeaveCell {};
 struct DispatcherSettingsChanged {
@@ -91,7 +96,7 @@
 using ToDispatch =
     std::variant<ConfigurationSeen, CancellationSeen, OwnerSeen, OwnerAbsent,
                  TableSeen, JobSeen, EnrolledSeen, WorkerSeen, WorkerGone,
-                 LoadFinished, OrderReturned, WriteEnded, LeaveCell,
+                 LoadFinished, OrderReturned, WriteEnded, PeerHeard, LeaveCell,
                  DispatcherSettingsChanged>;
 
 // ---- To the store link ----
@@ -110,7 +115,46 @@
   Epoch epoch;
 };
 struct EndOwning {};
-using ToStore = std::variant<WriteRows, ReadRow, BeginOwning, EndOwning>;
+/// A peer asks for one request to the table.
+struct ServeRelay {
+  std::uint64_t connection = 0;
+  std::uint64_t number = 0;
+  site::TableRequest request;
+};
+struct RelayEnded {
+  std::uint64_t number = 0;
+  site::TableOutcome outcome;
+};
+/// Whether some peer can be asked.
+struct RelayAvailable {
+  bool available = false;
+};
+
+using FrontToStore = std::variant<WriteRows, ReadRow>;
+using DispatchToStore = std::variant<WriteRows, BeginOwning, EndOwning>;
+using PeersToStore = std::variant<ServeRelay, RelayEnded, RelayAvailable>;
+
+// ---- To the peer link, from the store link ----
+
+struct MemberSeen {
+  InstanceId instance;
+  configuration::Address address;
+};
+/// Whether the table serves this instance.
+struct TableReached {
+  bool reached = false;
+};
+struct RelayWanted {
+  std::uint64_t number = 0;
+  site::TableRequest request;
+};
+struct RelayServed {
+  std::uint64_t connection = 0;
+  std::uint64_t number = 0;
+  site::TableOutcome outcome;
+};
+using ToPeers =
+    std::variant<MemberSeen, TableReached, RelayWanted, RelayServed>;
 
 // ---- To the worker link ----
 
--- a/packages/jobserver/include/jasminespar/jobserver/store_link.h
+++ b/packages/jobserver/include/jasminespar/jobserver/store_link.h
@@ -14,29 +14,37 @@
 #include "jasminespar/jobserver/event_log.h"
 #include "jasminespar/jobserver/messages.h"
 #include "jasminespar/runtime/duty.h"
+#include "jasminespar/runtime/reply_table.h"
 #include "jasminespar/site/table_client.h"
 #include "jasminespar/telemetry/metrics.h"
 
 namespace jasminespar::jobserver {
 
+/// A watch waits this long for a change. Short, so that a connection that has
+/// gone silent is noticed in time for a change of the configuration.
+inline constexpr Duration kWatchWait = 1s;
+
 /// Runs on its duty's thread only.
 class StoreLink {
  public:
   struct Rings {
     runtime::Channel<ToFront>& front;
     runtime::Channel<ToDispatch>& dispatch;
+    runtime::Channel<ToPeers>& peers;
     runtime::Channel<ToTelemetry>& telemetry;
   };
 
+  /// @param self as peers are told of it.
   StoreLink(runtime::Duty& duty, const site::TableClientSettings& settings,
-            const site::SiteCodec& codec, const Rings& rings,
-            telemetry::Metrics& metrics);
+            const MemberSeen& self, const site::SiteCodec& codec,
+            const Rings& rings, telemetry::Metrics& metrics);
 
   /// Starts the watches that every instance keeps.
   void Start();
 
-  void HandleFront(ToStore message);
-  void HandleDispatch(ToStore message);
+  void HandleFront(FrontToStore message);
+  void HandleDispatch(DispatchToStore message);
+  void HandlePeers(PeersToStore message);
 
  private:
   using Task = boost::asio::awaitable<void>;
@@ -46,6 +54,7 @@
     std::string table;
     std::string part;
     Duration pace{};  ///< Between two answers.
+    Duration wait = kWatchWait;
     /// Called for each row that was read or has changed.
     std::function<void(const site::Row&)> on_row;
     /// Called after the table was read whole, with all its keys.
@@ -60,26 +69,35 @@
   void FollowConfiguration();
   void FollowStatuses();
   void FollowOwner();
+  void FollowMembers();
   void FollowJobs(Epoch epoch);
   void FollowWorkers(Epoch epoch);
 
   Task Write(WriteRows request, bool for_front);
   Task Read(ReadRow request);
   Task Load(Epoch epoch);
+  Task Serve(ServeRelay request);
+  Task EnterMembers();
+  boost::asio::awaitable<site::TableOutcome> AskPeer(
+      site::TableRequest request);
 
   void TakeConfiguration(const site::Row& row);
   void TakeStatus(const site::Row& row);
   void TakeOwner(const site::Row& row);
+  void TakeMember(const site::Row& row);
   void TakeJob(const site::Row& row, Epoch epoch);
   void TakeWorker(const site::Row& row, Epoch epoch);
   void ReportUnreadable(const site::Row& row, const std::string& what);
-  void Observe(site::TableHealth health);
+  void Observe(site::TablePath path, const site::TableOutcome& outcome);
+  void TellReached();
 
   runtime::Duty& duty_;
+  MemberSeen self_;
   site::SiteCodec codec_;
   Rings rings_;
   telemetry::Metrics& metrics_;
   EventLog log_;
+  runtime::ReplyTable<site::TableOutcome> relays_;
   site::TableClient client_;
   std::optional<Epoch> owned_;  ///< Epoch under which this instance owns.
   std::uint64_t configuration_version_ = 0;
@@ -90,7 +108,8 @@
   bool jobs_loaded_ = false;
   TimePoint last_seen_sent_;
   TimePoint failing_since_;
-  bool failing_ = false;
+  bool reached_told_ = false;
+  bool relay_available_ = false;
 };
 
 }  // namespace jasminespar::jobserver
--- a/packages/jobserver/include/jasminespar/jobserver/table_layout.h
+++ b/packages/jobserver/include/jasminespar/jobserver/table_layout.h
@@ -24,6 +24,9 @@
 /// Workers that may hold runs of this cell.
 inline constexpr std::string_view kWorkerTable = "workers";
 
+/// Instances that serve jobs, by name, with the addresses of their peer links.
+inline constexpr std::string_view kMemberTable = "members";
+
 /// A cancellation's key: this and the job's id.
 inline constexpr std::string_view kCancellationPrefix = "x";
 
--- a/packages/jobserver/src/dispatch_duty.cc
+++ b/packages/jobserver/src/dispatch_duty.cc
@@ -19,7 +19,7 @@
 namespace {
 
 constexpr Duration kOwnerTick = 100ms;
-constexpr Duration kIdleTick = 250ms;
+constexpr Duration kIdleTick = 200ms;
 
 /// All attempts of one write; it is then sent again under the same number.
 constexpr Duration kOwnerWriteSpan = 2s;
@@ -130,6 +130,10 @@
   OwnerWriteEnded(ended.outcome);
 }
 
+void DispatchDuty::On(PeerHeard& heard) {
+  ownership_.HearPeer(heard.instance, runtime::SteadyNow());
+}
+
 void DispatchDuty::On(LeaveCell&) {
   ownership_.Leave();
   release_wanted_ = true;
@@ -298,7 +302,21 @@
   return std::nullopt;
 }
 
-void DispatchDuty::OwnerWriteEnded(const site::TransactionOutcome& outcome) {
+void DispatchDuty::SeeOwnerIn(const site::Conflict& conflict) {
+  for (const site::Row& row : conflict.current) {
+    if (row.key != OwnerRowKey()) continue;
+    try {
+      ownership_.SeeOwner(protocol::DecodeOwnerRow(row.value), row.version,
+                          runtime::SteadyNow());
+    } catch (const Error& error) {
+      log_.Log(Event::kRowUnreadable, {{"table", row.key.table},
+                                       {"key", row.key.key},
+                                       {"fault", error.what()}});
+    }
+  }
+}
+
+void DispatchDuty::OwnerWriteEnded(const site::TableOutcome& outcome) {
   const TimePoint now = runtime::SteadyNow();
   if (const auto* committed = std::get_if<site::Committed>(&outcome)) {
     Won(committed->version);
@@ -314,6 +332,7 @@
     if (kind == OwnerWrite::Kind::kClaim) {
       log_.Log(Event::kClaimConflict, {{"cell", kCellPart}});
       ownership_.ClaimFailed(now);
+      SeeOwnerIn(*conflict);
     } else {
       ownership_.Lose(now);
       StepDown();
--- a/packages/jobserver/src/job_front.cc
+++ b/packages/jobserver/src/job_front.cc
@@ -201,7 +201,7 @@
   const std::uint64_t number = write.number;
   const Duration span = write.span + kReplyMargin;
   rings_.store.Send(std::move(write));
-  const std::optional<site::TransactionOutcome> outcome =
+  const std::optional<site::TableOutcome> outcome =
       co_await writes_.Wait(number, span);
   const bool stored =
       outcome && (std::holds_alternative<site::Committed>(*outcome) ||
@@ -233,7 +233,7 @@
   if (Knows(id)) co_return true;
   const std::uint64_t number = reads_.Open();
   rings_.store.Send(ReadRow{number, CellRow(kStatusTable, id.value)});
-  const std::optional<site::ReadOutcome> outcome = co_await reads_.Wait(
+  const std::optional<site::TableOutcome> outcome = co_await reads_.Wait(
       number, std::max(Duration{}, deadline - runtime::SteadyNow()));
   if (!outcome) co_return std::nullopt;
   const auto* page = std::get_if<site::RowPage>(&*outcome);
@@ -279,7 +279,7 @@
   const std::uint64_t number = write.number;
   const Duration span = write.span + kReplyMargin;
   rings_.store.Send(std::move(write));
-  const std::optional<site::TransactionOutcome> outcome =
+  const std::optional<site::TableOutcome> outcome =
       co_await writes_.Wait(number, span);
   if (outcome && std::holds_alternative<site::Committed>(*outcome)) {
     cancelled_.insert(id);
--- a/packages/jobserver/src/job_server.cc
+++ b/packages/jobserver/src/job_server.cc
@@ -11,6 +11,7 @@
 
 #include "jasminespar/jobserver/dispatch_duty.h"
 #include "jasminespar/jobserver/job_front.h"
+#include "jasminespar/jobserver/peer_link.h"
 #include "jasminespar/jobserver/store_link.h"
 #include "jasminespar/jobserver/telemetry_writer.h"
 #include "jasminespar/jobserver/worker_link.h"
@@ -90,9 +91,10 @@
         log_(rings_.main_to_telemetry),
         front_(front_duty_, ToFrontSettings(settings), codec,
                {rings_.front_to_store, rings_.front_to_telemetry}, metrics_),
-        store_(store_duty_, ToTableSettings(settings), codec,
+        store_(store_duty_, ToTableSettings(settings),
+               {settings.instance, settings.peers}, codec,
                {rings_.store_to_front, rings_.store_to_dispatch,
-                rings_.store_to_telemetry},
+                rings_.store_to_peers, rings_.store_to_telemetry},
                metrics_),
         dispatch_(dispatch_duty_, settings.instance,
                   ToDispatcherSettings(settings),
@@ -101,6 +103,10 @@
                   metrics_),
         workers_(worker_duty_, codec.worker, rings_.workers_to_dispatch,
                  metrics_),
+        peers_(peer_duty_, settings.instance, settings.peers,
+               {rings_.peers_to_store, rings_.peers_to_dispatch,
+                rings_.peers_to_telemetry},
+               metrics_),
         telemetry_(telemetry_duty_, settings.metrics, metrics_) {
     JoinRings();
   }
@@ -132,7 +138,11 @@
           front_to_telemetry(capacity),
           store_to_front(capacity),
           store_to_dispatch(capacity),
+          store_to_peers(capacity),
           store_to_telemetry(capacity),
+          peers_to_store(capacity),
+          peers_to_dispatch(capacity),
+          peers_to_telemetry(capacity),
           dispatch_to_store(capacity),
           dispatch_to_workers(capacity),
           dispatch_to_telemetry(capacity),
@@ -140,12 +150,16 @@
           main_to_front(capacity),
           main_to_dispatch(capacity),
           main_to_telemetry(capacity) {}
-    Channel<ToStore> front_to_store;
+    Channel<FrontToStore> front_to_store;
     Channel<ToTelemetry> front_to_telemetry;
     Channel<ToFront> store_to_front;
     Channel<ToDispatch> store_to_dispatch;
+    Channel<ToPeers> store_to_peers;
     Channel<ToTelemetry> store_to_telemetry;
-    Channel<ToStore> dispatch_to_store;
+    Channel<PeersToStore> peers_to_store;
+    Channel<ToDispatch> peers_to_dispatch;
+    Channel<ToTelemetry> peers_to_telemetry;
+    Channel<DispatchToStore> dispatch_to_store;
     Channel<ToWorkers> dispatch_to_workers;
     Channel<ToTelemetry> dispatch_to_telemetry;
     Channel<ToDispatch> workers_to_dispatch;
@@ -164,13 +178,21 @@
   }
 
   void JoinRings() {
-    runtime::Join(
-        rings_.front_to_store, front_duty_, store_duty_,
-        [this](ToStore&& message) { store_.HandleFront(std::move(message)); });
+    runtime::Join(rings_.front_to_store, front_duty_, store_duty_,
+                  [this](FrontToStore&& message) {
+                    store_.HandleFront(std::move(message));
+                  });
     runtime::Join(rings_.dispatch_to_store, dispatch_duty_, store_duty_,
-                  [this](ToStore&& message) {
+                  [this](DispatchToStore&& message) {
                     store_.HandleDispatch(std::move(message));
                   });
+    runtime::Join(rings_.peers_to_store, peer_duty_, store_duty_,
+                  [this](PeersToStore&& message) {
+                    store_.HandlePeers(std::move(message));
+                  });
+    Join(rings_.store_to_peers, store_duty_, peer_duty_, peers_);
+    Join(rings_.peers_to_dispatch, peer_duty_, dispatch_duty_, dispatch_);
+    Join(rings_.peers_to_telemetry, peer_duty_, telemetry_duty_, telemetry_);
     Join(rings_.front_to_telemetry, front_duty_, telemetry_duty_, telemetry_);
     Join(rings_.store_to_front, store_duty_, front_duty_, front_);
     Join(rings_.store_to_dispatch, store_duty_, dispatch_duty_, dispatch_);
@@ -189,6 +211,7 @@
     asio::post(front_duty_.context(), [this] { front_.Start(); });
     asio::post(store_duty_.context(), [this] { store_.Start(); });
     asio::post(dispatch_duty_.context(), [this] { dispatch_.Start(); });
+    asio::post(peer_duty_.context(), [this] { peers_.Start(); });
     asio::post(telemetry_duty_.context(), [this] { telemetry_.Start(); });
     for (Duty* duty : duties_) duty->Start();
   }
@@ -272,13 +295,15 @@
   Duty store_duty_{"store_link"};
   Duty dispatch_duty_{"dispatch"};
   Duty worker_duty_{"worker_link"};
+  Duty peer_duty_{"peer_link"};
   Duty telemetry_duty_{"telemetry"};
-  std::array<Duty*, 5> duties_{&front_duty_, &store_duty_, &dispatch_duty_,
-                               &worker_duty_, &telemetry_duty_};
+  std::array<Duty*, 6> duties_{&front_duty_,  &store_duty_, &dispatch_duty_,
+                               &worker_duty_, &peer_duty_,  &telemetry_duty_};
   JobFront front_;
   StoreLink store_;
   DispatchDuty dispatch_;
   WorkerLink workers_;
+  PeerLink peers_;
   TelemetryWriter telemetry_;
   TimePoint leave_at_;
   TimePoint give_up_at_;
--- a/packages/jobserver/src/store_link.cc
+++ b/packages/jobserver/src/store_link.cc
@@ -9,6 +9,7 @@
 #include "jasminespar/core/overloaded.h"
 #include "jasminespar/jobserver/table_layout.h"
 #include "jasminespar/protocol/job_records.h"
+#include "jasminespar/protocol/relay_message.h"
 #include "jasminespar/runtime/clock.h"
 #include "jasminespar/runtime/sleep.h"
 
@@ -19,13 +20,16 @@
 
 namespace {
 
-/// Short, so that a connection that has gone silent is noticed in time for a
-/// change of the configuration.
-constexpr Duration kWatchWait = 1s;
+/// Members change only when instances come; nothing hangs on it.
+constexpr Duration kMemberWait = 10s;
+constexpr Duration kMemberPace = 1s;
+
+/// On top of a watch's wait: the peer's own attempt, and the way to it.
+constexpr Duration kRelayTimeout = 1300ms;
 
 constexpr Duration kConfigurationPace = 50ms;
 constexpr Duration kStatusPace = 60ms;
-constexpr Duration kOwnerPace = 600ms;
+constexpr Duration kOwnerPace = 500ms;
 constexpr Duration kJobPace = 5ms;
 constexpr Duration kWorkerPace = 400ms;
 
@@ -35,30 +39,38 @@
 /// The dispatcher is told that the table answers at most this often.
 constexpr Duration kTableSeenInterval = 300ms;
 
-/// The table counts as lost after failing for this long.
-constexpr Duration kLostAfter = 1s;
-
 }  // namespace
 
 StoreLink::StoreLink(runtime::Duty& duty,
                      const site::TableClientSettings& settings,
-                     const site::SiteCodec& codec, const Rings& rings,
-                     telemetry::Metrics& metrics)
+                     const MemberSeen& self, const site::SiteCodec& codec,
+                     const Rings& rings, telemetry::Metrics& metrics)
     : duty_(duty),
+      self_(self),
       codec_(codec),
       rings_(rings),
       metrics_(metrics),
       log_(rings.telemetry),
+      relays_(duty.context(), 0),
       client_(duty.context(), settings, codec.table,
-              [this](site::TableHealth health) { Observe(health); }) {}
+              {[this] { return relay_available_; },
+               [this](site::TableRequest request) {
+                 return AskPeer(std::move(request));
+               },
+               [this](site::TablePath path, const site::TableOutcome& outcome) {
+                 Observe(path, outcome);
+               }}) {}
 
 void StoreLink::Start() {
+  failing_since_ = runtime::SteadyNow();
   FollowConfiguration();
   FollowStatuses();
   FollowOwner();
+  FollowMembers();
+  asio::co_spawn(duty_.context(), EnterMembers(), asio::detached);
 }
 
-void StoreLink::HandleFront(ToStore message) {
+void StoreLink::HandleFront(FrontToStore message) {
   std::visit(Overloaded{
                  [this](WriteRows& write) {
                    asio::co_spawn(duty_.context(),
@@ -69,20 +81,17 @@
                    asio::co_spawn(duty_.context(), Read(std::move(read)),
                                   asio::detached);
                  },
-                 [](BeginOwning&) {},  // Only the dispatcher owns.
-                 [](EndOwning&) {},
              },
              message);
 }
 
-void StoreLink::HandleDispatch(ToStore message) {
+void StoreLink::HandleDispatch(DispatchToStore message) {
   std::visit(
       Overloaded{
           [this](WriteRows& write) {
             asio::co_spawn(duty_.context(), Write(std::move(write), false),
                            asio::detached);
           },
-          [](ReadRow&) {},  // Only the front asks for single rows.
           [this](BeginOwning& begin) {
             owned_ = begin.epoch;
             asio::co_spawn(duty_.context(), Load(begin.epoch), asio::detached);
@@ -92,9 +101,60 @@
       message);
 }
 
+void StoreLink::HandlePeers(PeersToStore message) {
+  std::visit(Overloaded{
+                 [this](ServeRelay& serve) {
+                   asio::co_spawn(duty_.context(), Serve(std::move(serve)),
+                                  asio::detached);
+                 },
+                 [this](RelayEnded& ended) {
+                   relays_.Fill(ended.number, std::move(ended.outcome));
+                 },
+                 [this](const RelayAvailable& relay) {
+                   relay_available_ = relay.available;
+                 },
+             },
+             message);
+}
+
+asio::awaitable<void> StoreLink::Serve(ServeRelay request) {
+  site::TableOutcome outcome =
+      co_await client_.AskStraight(std::move(request.request));
+  rings_.peers.Send(
+      RelayServed{request.connection, request.number, std::move(outcome)});
+}
+
+asio::awaitable<site::TableOutcome> StoreLink::AskPeer(
+    site::TableRequest request) {
+  const auto* watch = std::get_if<site::Watch>(&request);
+  const Duration timeout =
+      kRelayTimeout + (watch == nullptr ? Duration{} : watch->wait);
+  const std::uint64_t number = relays_.Open();
+  rings_.peers.Send(RelayWanted{number, std::move(request)});
+  std::optional<site::TableOutcome> outcome =
+      co_await relays_.Wait(number, timeout);
+  if (!outcome) outcome = site::NoAnswer{};
+  co_return *std::move(outcome);
+}
+
+asio::awaitable<void> StoreLink::EnterMembers() {
+  site::Transaction transaction;
+  transaction.writes.push_back(
+      {CellRow(kMemberTable, self_.instance.value),
+       protocol::Encode(protocol::MemberRow{self_.instance, self_.address}),
+       {}});
+  while (true) {
+    site::Transaction copy = transaction;
+    const site::TableOutcome outcome =
+        co_await client_.Transact(std::move(copy), kReadSpan);
+    if (std::holds_alternative<site::Committed>(outcome)) co_return;
+    co_await runtime::Sleep(duty_.context(), kRetryPause);
+  }
+}
+
 asio::awaitable<void> StoreLink::Write(WriteRows request, bool for_front) {
   const TimePoint begun = runtime::SteadyNow();
-  site::TransactionOutcome outcome =
+  site::TableOutcome outcome =
       co_await client_.Transact(std::move(request.transaction), request.span);
   metrics_.Observe(telemetry::Timing::kStoreRequest,
                    runtime::SteadyNow() - begun);
@@ -109,7 +169,7 @@
 asio::awaitable<void> StoreLink::Read(ReadRow request) {
   site::RowRange range{request.key.table, request.key.part, request.key.key,
                        request.key.key + '\0'};
-  site::ReadOutcome outcome =
+  site::TableOutcome outcome =
       co_await client_.ReadAll(std::move(range), kReadSpan);
   rings_.front.Send(ReadEnded{request.number, std::move(outcome)});
 }
@@ -117,7 +177,7 @@
 asio::awaitable<void> StoreLink::FollowTable(Follow follow) {
   while (follow.wanted()) {
     site::RowRange range{follow.table, follow.part, "", ""};
-    site::ReadOutcome outcome =
+    site::TableOutcome outcome =
         co_await client_.ReadAll(std::move(range), kReadSpan);
     if (!follow.wanted()) co_return;
     auto* page = std::get_if<site::RowPage>(&outcome);
@@ -138,8 +198,8 @@
 asio::awaitable<void> StoreLink::FollowChanges(const Follow& follow,
                                                site::RowVersion after) {
   while (follow.wanted()) {
-    site::Watch watch{follow.table, after, kWatchWait};
-    site::WatchOutcome outcome = co_await client_.Changes(std::move(watch));
+    site::Watch watch{follow.table, after, follow.wait};
+    site::TableOutcome outcome = co_await client_.Ask(std::move(watch));
     if (!follow.wanted()) co_return;
     if (std::holds_alternative<site::HistoryGone>(outcome)) co_return;
     auto* page = std::get_if<site::RowPage>(&outcome);
@@ -196,13 +256,25 @@
                  asio::detached);
 }
 
+void StoreLink::FollowMembers() {
+  Follow follow;
+  follow.table = std::string(kMemberTable);
+  follow.part = std::string(kCellPart);
+  follow.pace = kMemberPace;
+  follow.wait = kMemberWait;
+  follow.on_row = [this](const site::Row& row) { TakeMember(row); };
+  follow.wanted = [] { return true; };
+  asio::co_spawn(duty_.context(), FollowTable(std::move(follow)),
+                 asio::detached);
+}
+
 asio::awaitable<void> StoreLink::Load(Epoch epoch) {
   const auto wanted = [this, epoch] { return owned_ == epoch; };
   std::map<std::string, std::vector<site::Row>> tables;
   for (const std::string_view table : {kProgressTable, kWorkerTable}) {
     while (wanted() && !tables.contains(std::string(table))) {
       site::RowRange range{std::string(table), std::string(kCellPart), "", ""};
-      site::ReadOutcome outcome =
+      site::TableOutcome outcome =
           co_await client_.ReadAll(std::move(range), kReadSpan);
       if (auto* page = std::get_if<site::RowPage>(&outcome)) {
         tables[std::string(table)] = std::move(page->rows);
@@ -329,6 +401,17 @@
   }
 }
 
+void StoreLink::TakeMember(const site::Row& row) {
+  if (row.deleted) return;
+  try {
+    protocol::MemberRow member = protocol::DecodeMemberRow(row.value);
+    rings_.peers.Send(
+        MemberSeen{std::move(member.instance), std::move(member.address)});
+  } catch (const Error& error) {
+    ReportUnreadable(row, error.what());
+  }
+}
+
 void StoreLink::TakeJob(const site::Row& row, Epoch epoch) {
   if (row.deleted) return;
   try {
@@ -369,20 +452,29 @@
                                    {"fault", what}});
 }
 
-void StoreLink::Observe(site::TableHealth health) {
+void StoreLink::Observe(site::TablePath path,
+                        const site::TableOutcome& outcome) {
   const TimePoint now = runtime::SteadyNow();
-  if (health == site::TableHealth::kFailed) {
-    metrics_.Count(telemetry::Counter::kStoreErrors);
-    if (!std::exchange(failing_, true)) failing_since_ = now;
-    return;
-  }
-  if (std::exchange(failing_, false) && now - failing_since_ > kLostAfter) {
+  const bool served = site::IsServed(outcome);
+  if (!served) metrics_.Count(telemetry::Counter::kStoreErrors);
+  if (path == site::TablePath::kStraight) TellReached();
+  if (!served || now - last_seen_sent_ < kTableSeenInterval) return;
+  last_seen_sent_ = now;
+  rings_.dispatch.Send(TableSeen{});
+}
+
+void StoreLink::TellReached() {
+  const bool reached = client_.reached();
+  if (std::exchange(reached_told_, reached) == reached) return;
+  rings_.peers.Send(TableReached{reached});
+  const TimePoint now = runtime::SteadyNow();
+  if (reached) {
     log_.Log(Event::kStoreBack,
              {{"after_ms", ToMilliseconds(now - failing_since_)}});
+  } else {
+    failing_since_ = now;
+    log_.Log(Event::kStoreUnavailable, {{"peer_ready", relay_available_}});
   }
-  if (now - last_seen_sent_ < kTableSeenInterval) return;
-  last_seen_sent_ = now;
-  rings_.dispatch.Send(TableSeen{});
 }
 
 }  // namespace jasminespar::jobserver
--- a/packages/daemon/include/jasminespar/daemon/peer_connection.h
+++ b/packages/peers/include/jasminespar/peers/frame_connection.h
@@ -1,9 +1,9 @@
 /// @file
 /// One TCP connection between instances: frames of a 4-byte big-endian length
-/// and one encoded message.
+/// and a body.
 
-#ifndef JASMINESPAR_DAEMON_PEER_CONNECTION_H_
-#define JASMINESPAR_DAEMON_PEER_CONNECTION_H_
+#ifndef JASMINESPAR_PEERS_FRAME_CONNECTION_H_
+#define JASMINESPAR_PEERS_FRAME_CONNECTION_H_
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
@@ -18,22 +18,24 @@
 
 #include "jasminespar/configuration/topology.h"
 #include "jasminespar/core/time.h"
-#include "jasminespar/protocol/peer_message.h"
 
-namespace jasminespar::daemon {
+namespace jasminespar::peers {
+
+/// Largest body of a frame; bytes.
+inline constexpr std::size_t kMaxFrameBytes = 32U << 20;
 
 /// Callbacks run on the connection's io_context. `on_closed` is called once.
-struct PeerHandlers {
-  std::function<void(std::uint64_t connection, protocol::PeerMessage)>
-      on_message;
+struct FrameHandlers {
+  /// @return false to close the connection: the body is not understood.
+  std::function<bool(std::uint64_t connection, std::string body)> on_frame;
   std::function<void(std::uint64_t connection)> on_closed;
 };
 
 /// Held by shared_ptr; its coroutines keep it alive until it is closed.
-class PeerConnection : public std::enable_shared_from_this<PeerConnection> {
+class FrameConnection : public std::enable_shared_from_this<FrameConnection> {
  public:
-  PeerConnection(boost::asio::io_context& context, std::uint64_t number,
-                 PeerHandlers handlers);
+  FrameConnection(boost::asio::io_context& context, std::uint64_t number,
+                  FrameHandlers handlers);
 
   /// Takes over an accepted socket.
   void Adopt(boost::asio::ip::tcp::socket socket);
@@ -43,7 +45,7 @@
 
   /// @return false, with nothing sent, when the connection is closed or holds
   ///     too many unsent bytes.
-  bool Send(const protocol::PeerMessage& message);
+  bool Send(const std::string& body);
 
   void Close();
 
@@ -54,7 +56,7 @@
   [[nodiscard]] bool ever_open() const noexcept { return open_; }
 
  private:
-  using Self = std::shared_ptr<PeerConnection>;
+  using Self = std::shared_ptr<FrameConnection>;
   static boost::asio::awaitable<void> ConnectAndRun(
       Self self, configuration::Address address, Duration timeout);
   static boost::asio::awaitable<void> ReadFrames(Self self);
@@ -63,7 +65,7 @@
 
   boost::asio::io_context& context_;
   std::uint64_t number_;
-  PeerHandlers handlers_;
+  FrameHandlers handlers_;
   boost::asio::ip::tcp::socket socket_;
   boost::asio::steady_timer signal_;  // Cancelled when something changed.
   std::deque<std::string> unsent_;
@@ -72,6 +74,6 @@
   bool closed_ = false;
 };
 
-}  // namespace jasminespar::daemon
+}  // namespace jasminespar::peers
 
-#endif  // JASMINESPAR_DAEMON_PEER_CONNECTION_H_
+#endif  // JASMINESPAR_PEERS_FRAME_CONNECTION_H_
--- a/packages/daemon/src/peer_connection.cc
+++ b/packages/peers/src/frame_connection.cc
@@ -1,4 +1,4 @@
-#include "jasminespar/daemon/peer_connection.h"
+#include "jasminespar/peers/frame_connection.h"
 
 #include <array>
 #include <boost/asio/co_spawn.hpp>
@@ -11,9 +11,7 @@
 #include <boost/endian/conversion.hpp>
 #include <utility>
 
-#include "jasminespar/core/error.h"
-
-namespace jasminespar::daemon {
+namespace jasminespar::peers {
 
 namespace asio = boost::asio;
 using Tcp = asio::ip::tcp;
@@ -25,8 +23,7 @@
 /// A peer that reads this slowly is as good as cut off.
 constexpr std::size_t kMaxUnsentBytes = 64U << 20;
 
-std::string ToFrame(const protocol::PeerMessage& message) {
-  const std::string body = protocol::Encode(message);
+std::string ToFrame(const std::string& body) {
   std::string frame(kLengthBytes, '\0');
   boost::endian::store_big_u32(reinterpret_cast<unsigned char*>(frame.data()),
                                static_cast<std::uint32_t>(body.size()));
@@ -35,26 +32,27 @@
 
 }  // namespace
 
-PeerConnection::PeerConnection(asio::io_context& context, std::uint64_t number,
-                               PeerHandlers handlers)
+FrameConnection::FrameConnection(asio::io_context& context,
+                                 std::uint64_t number, FrameHandlers handlers)
     : context_(context),
       number_(number),
       handlers_(std::move(handlers)),
       socket_(context),
       signal_(context) {}
 
-void PeerConnection::Adopt(Tcp::socket socket) {
+void FrameConnection::Adopt(Tcp::socket socket) {
   socket_ = std::move(socket);
   Start();
 }
 
-void PeerConnection::Connect(configuration::Address address, Duration timeout) {
+void FrameConnection::Connect(configuration::Address address,
+                              Duration timeout) {
   asio::co_spawn(context_,
                  ConnectAndRun(shared_from_this(), std::move(address), timeout),
                  asio::detached);
 }
 
-void PeerConnection::Start() {
+void FrameConnection::Start() {
   boost::system::error_code ignored;
   socket_.set_option(Tcp::no_delay(true), ignored);
   open_ = true;
@@ -62,17 +60,17 @@
   asio::co_spawn(context_, WriteFrames(shared_from_this()), asio::detached);
 }
 
-bool PeerConnection::Send(const protocol::PeerMessage& message) {
+bool FrameConnection::Send(const std::string& body) {
   if (closed_ || unsent_bytes_ > kMaxUnsentBytes) return false;
-  std::string frame = ToFrame(message);
-  if (frame.size() > protocol::kMaxFrameBytes) return false;
+  if (body.size() > kMaxFrameBytes) return false;
+  std::string frame = ToFrame(body);
   unsent_bytes_ += frame.size();
   unsent_.push_back(std::move(frame));
   signal_.cancel();
   return true;
 }
 
-void PeerConnection::Close() {
+void FrameConnection::Close() {
   if (closed_) return;
   closed_ = true;
   boost::system::error_code ignored;
@@ -84,7 +82,7 @@
   });
 }
 
-asio::awaitable<void> PeerConnection::ConnectAndRun(
+asio::awaitable<void> FrameConnection::ConnectAndRun(
     Self self, configuration::Address address, Duration timeout) {
   asio::steady_timer timer(self->context_, timeout);
   timer.async_wait([self](const boost::system::error_code& error) {
@@ -104,7 +102,7 @@
   self->Start();
 }
 
-asio::awaitable<void> PeerConnection::ReadFrames(Self self) {
+asio::awaitable<void> FrameConnection::ReadFrames(Self self) {
   boost::system::error_code error;
   std::array<unsigned char, kLengthBytes> length{};
   std::string body;
@@ -113,22 +111,18 @@
                               asio::redirect_error(asio::use_awaitable, error));
     if (error) break;
     const std::uint32_t size = boost::endian::load_big_u32(length.data());
-    if (size > protocol::kMaxFrameBytes) break;
+    if (size > kMaxFrameBytes) break;
     body.resize(size);
     co_await asio::async_read(self->socket_, asio::buffer(body),
                               asio::redirect_error(asio::use_awaitable, error));
     if (error) break;
-    try {
-      self->handlers_.on_message(self->number_,
-                                 protocol::DecodePeerMessage(body));
-    } catch (const Error&) {
-      break;  // Not a peer, or another version: close.
-    }
+    if (!self->handlers_.on_frame(self->number_, std::move(body))) break;
+    body = {};
   }
   self->Close();
 }
 
-asio::awaitable<void> PeerConnection::WriteFrames(Self self) {
+asio::awaitable<void> FrameConnection::WriteFrames(Self self) {
   boost::system::error_code error;
   while (!self->closed_) {
     if (self->unsent_.empty()) {
@@ -148,4 +142,4 @@
   self->Close();
 }
 
-}  // namespace jasminespar::daemon
+}  // namespace jasminespar::peers
--- a/packages/protocol/include/jasminespar/protocol/job_records.h
+++ b/packages/protocol/include/jasminespar/protocol/job_records.h
@@ -24,8 +24,7 @@
 [[nodiscard]] jobs::JobProgress DecodeJobProgress(std::string_view bytes);
 [[nodiscard]] jobs::JobStatus DecodeJobStatus(std::string_view bytes);
 [[nodiscard]] jobs::OwnerRow DecodeOwnerRow(std::string_view bytes);
-[[nodiscard]] jobs::WorkerEnrolled DecodeWorkerEnrolled(
-    std::string_view bytes);
+[[nodiscard]] jobs::WorkerEnrolled DecodeWorkerEnrolled(std::string_view bytes);
 
 }  // namespace jasminespar::protocol
 
--- a/packages/protocol/include/jasminespar/protocol/peer_message.h
+++ b/packages/protocol/include/jasminespar/protocol/peer_message.h
@@ -18,9 +18,6 @@
 
 namespace jasminespar::protocol {
 
-/// Largest frame on a peer connection; bytes.
-inline constexpr std::size_t kMaxFrameBytes = 32U << 20;
-
 /// Largest heartbeat datagram; bytes. Fits one loopback or jumbo packet.
 inline constexpr std::size_t kMaxDatagramBytes = 60'000;
 
--- /dev/null
+++ b/packages/protocol/src/relay_message.cc
@@ -0,0 +1,95 @@
+#include "jasminespar/protocol/relay_message.h"
+
+#include "encode_value.h"
+#include "serialization.h"
+
+namespace jasminespar {
+namespace site {
+
+template <typename Archive>
+void serialize(Archive& archive, RowKey& key) {
+  archive(key.table, key.part, key.key);
+}
+template <typename Archive>
+void serialize(Archive& archive, Row& row) {
+  archive(row.key, row.value, row.version, row.deleted);
+}
+template <typename Archive>
+void serialize(Archive& archive, Condition& condition) {
+  archive(condition.key, condition.version);
+}
+template <typename Archive>
+void serialize(Archive& archive, Transaction& transaction) {
+  archive(transaction.conditions, transaction.writes, transaction.deletes);
+}
+template <typename Archive>
+void serialize(Archive& archive, RowRange& range) {
+  archive(range.table, range.part, range.from, range.to);
+}
+template <typename Archive>
+void serialize(Archive& archive, Watch& watch) {
+  archive(watch.table, watch.after, watch.wait);
+}
+template <typename Archive>
+void serialize(Archive& archive, Committed& outcome) {
+  archive(outcome.version);
+}
+template <typename Archive>
+void serialize(Archive& archive, Conflict& outcome) {
+  archive(outcome.current);
+}
+template <typename Archive>
+void serialize(Archive& archive, TurnedAway& outcome) {
+  archive(outcome.status);
+}
+template <typename Archive>
+void serialize(Archive& archive, Malformed& outcome) {
+  archive(outcome.status);
+}
+template <typename Archive>
+void serialize(Archive& /*archive*/, NoAnswer& /*outcome*/) {}
+template <typename Archive>
+void serialize(Archive& /*archive*/, HistoryGone& /*outcome*/) {}
+template <typename Archive>
+void serialize(Archive& archive, RowPage& page) {
+  archive(page.rows, page.has_more, page.version);
+}
+
+}  // namespace site
+
+namespace protocol {
+
+template <typename Archive>
+void serialize(Archive& archive, PeerBeat& beat) {
+  archive(beat.instance, beat.address, beat.table_reached);
+}
+template <typename Archive>
+void serialize(Archive& archive, MemberRow& row) {
+  archive(row.instance, row.address);
+}
+template <typename Archive>
+void serialize(Archive& archive, RelayAsk& ask) {
+  archive(ask.number, ask.request);
+}
+template <typename Archive>
+void serialize(Archive& archive, RelayReply& reply) {
+  archive(reply.number, reply.outcome);
+}
+
+std::string Encode(const PeerBeat& beat) { return EncodeValue(beat); }
+PeerBeat DecodePeerBeat(std::string_view bytes) {
+  return DecodeValue<PeerBeat>(bytes);
+}
+
+std::string Encode(const MemberRow& row) { return EncodeValue(row); }
+MemberRow DecodeMemberRow(std::string_view bytes) {
+  return DecodeValue<MemberRow>(bytes);
+}
+
+std::string Encode(const RelayMessage& message) { return EncodeValue(message); }
+RelayMessage DecodeRelayMessage(std::string_view bytes) {
+  return DecodeValue<RelayMessage>(bytes);
+}
+
+}  // namespace protocol
+}  // namespace jasminespar
--- a/packages/settings/include/jasminespar/settings/job_server_settings.h
+++ b/packages/settings/include/jasminespar/settings/job_server_settings.h
@@ -24,6 +24,7 @@
   configuration::Address callers;    ///< Serves jobs.
   configuration::Address readiness;  ///< Asked by the balancer.
   configuration::Address metrics;
+  configuration::Address peers;  ///< Heard by other instances, UDP and TCP.
   configuration::Address table;  ///< Where the site's table is reached.
 
   Duration max_lease{};
--- a/packages/settings/src/job_server_settings.cc
+++ b/packages/settings/src/job_server_settings.cc
@@ -19,7 +19,7 @@
 /// Short for the rows below.
 using Settings = JobServerSettings;
 
-constexpr std::array<SettingRow<Settings>, 15> kRows{{
+constexpr std::array<SettingRow<Settings>, 16> kRows{{
     {"instance",
      "id",
      kName,
@@ -60,6 +60,14 @@
      {},
      "Address on which GET /metrics is answered.",
      [](Settings& s) -> Address& { return s.metrics; }},
+    {"listen",
+     "peers",
+     kAddress,
+     kRequired,
+     "",
+     {},
+     "Address on which other instances are heard, for UDP and for TCP.",
+     [](Settings& s) -> Address& { return s.peers; }},
     {"listen",
      "max_connections",
      kCount,
--- a/packages/site/include/jasminespar/site/codec.h
+++ b/packages/site/include/jasminespar/site/codec.h
@@ -27,12 +27,9 @@
 using Decoded = std::variant<Value, DecodeFault>;
 
 struct TableCodec {
-  http::Request (*encode_transaction)(const Transaction&);
-  TransactionOutcome (*decode_transaction)(const http::Response&);
-  http::Request (*encode_read)(const RowRange&);
-  ReadOutcome (*decode_read)(const http::Response&);
-  http::Request (*encode_watch)(const Watch&);
-  WatchOutcome (*decode_watch)(const http::Response&);
+  http::Request (*encode)(const TableRequest&);
+  /// @return NoAnswer when the response does not tell what was done.
+  TableOutcome (*decode)(const TableRequest&, const http::Response&);
 };
 
 struct WorkerCodec {
--- a/packages/site/include/jasminespar/site/table.h
+++ b/packages/site/include/jasminespar/site/table.h
@@ -60,9 +60,6 @@
 };
 /// It may have been done, or may yet be.
 struct NoAnswer {};
-using TransactionOutcome =
-    std::variant<Committed, Conflict, TurnedAway, Malformed, NoAnswer>;
-
 /// Rows of one part by key, as of one moment.
 struct RowRange {
   std::string table;
@@ -75,8 +72,6 @@
   bool has_more = false;  ///< Go on from the key after the last row.
   RowVersion version;     ///< Newest of the table service.
 };
-using ReadOutcome = std::variant<RowPage, TurnedAway, Malformed, NoAnswer>;
-
 /// Changes of a table after a version, in order.
 struct Watch {
   std::string table;
@@ -85,8 +80,12 @@
 };
 /// The changes asked for are no longer kept: read the table whole.
 struct HistoryGone {};
-using WatchOutcome =
-    std::variant<RowPage, HistoryGone, TurnedAway, Malformed, NoAnswer>;
+
+/// One request to the table, and what came of it: Committed or Conflict for a
+/// transaction, RowPage for a range or a watch, HistoryGone for a watch.
+using TableRequest = std::variant<Transaction, RowRange, Watch>;
+using TableOutcome = std::variant<Committed, Conflict, RowPage, HistoryGone,
+                                  TurnedAway, Malformed, NoAnswer>;
 
 }  // namespace jasminespar::site
 
--- a/packages/site/include/jasminespar/site/table_client.h
+++ b/packages/site/include/jasminespar/site/table_client.h
@@ -7,12 +7,14 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 #include <functional>
+#include <optional>
 #include <string>
 
 #include "jasminespar/configuration/topology.h"
 #include "jasminespar/core/time.h"
 #include "jasminespar/http/client.h"
 #include "jasminespar/site/codec.h"
+#include "jasminespar/site/table_path.h"
 
 namespace jasminespar::site {
 
@@ -25,44 +27,54 @@
   std::size_t max_connections = 12;
 };
 
-/// What the client sees of the table as a whole.
-enum class TableHealth : std::uint8_t { kAnswered, kFailed };
-
 /// Not thread-safe: use on the io_context it was made with.
 class TableClient {
  public:
-  using Observer = std::function<void(TableHealth)>;
+  /// Puts one request to the table through a peer.
+  using Relay =
+      std::function<boost::asio::awaitable<TableOutcome>(TableRequest)>;
+
+  struct Hooks {
+    std::function<bool()> peer_ready;  ///< Whether `relay` is worth trying.
+    Relay relay;
+    /// Told of each outcome and the way it came.
+    std::function<void(TablePath, const TableOutcome&)> observe;
+  };
 
-  /// @param observer is told of each answer and failure.
   TableClient(boost::asio::io_context& context,
               const TableClientSettings& settings, const TableCodec& codec,
-              Observer observer);
+              Hooks hooks);
 
   /// Repeats a transaction until its outcome is known or the time is over.
   /// After an attempt without an answer, a Conflict may be the transaction's
   /// own success: the caller compares the rows.
   /// @param span for all attempts.
   /// @return TurnedAway only when no attempt can take effect, now or later.
-  [[nodiscard]] boost::asio::awaitable<TransactionOutcome> Transact(
+  [[nodiscard]] boost::asio::awaitable<TableOutcome> Transact(
       Transaction transaction, Duration span);
 
-  [[nodiscard]] boost::asio::awaitable<ReadOutcome> Read(RowRange range);
-
   /// Reads all pages of a range, repeating what fails until `span` is over.
-  /// @return has_more is false, and the version that of the first page.
-  [[nodiscard]] boost::asio::awaitable<ReadOutcome> ReadAll(RowRange range,
-                                                            Duration span);
+  /// @return of a RowPage, has_more is false and the version that of the first
+  ///     page.
+  [[nodiscard]] boost::asio::awaitable<TableOutcome> ReadAll(RowRange range,
+                                                             Duration span);
 
-  [[nodiscard]] boost::asio::awaitable<WatchOutcome> Changes(Watch watch);
+  /// Asks once, the straight way or through a peer.
+  [[nodiscard]] boost::asio::awaitable<TableOutcome> Ask(TableRequest request);
 
- private:
-  [[nodiscard]] boost::asio::awaitable<std::optional<http::Response>> Ask(
-      http::Request request, Duration timeout);
+  /// Asks once, the straight way.
+  [[nodiscard]] boost::asio::awaitable<TableOutcome> AskStraight(
+      TableRequest request);
+
+  /// @return whether the table served the last straight attempt.
+  [[nodiscard]] bool reached() const noexcept { return path_.reached(); }
 
+ private:
   boost::asio::io_context& context_;
   TableClientSettings settings_;
   TableCodec codec_;
-  Observer observer_;
+  Hooks hooks_;
+  TablePathChooser path_;
   http::Client client_;
   http::Client watch_client_;
 };
--- /dev/null
+++ b/packages/site/include/jasminespar/site/table_path.h
@@ -0,0 +1,44 @@
+/// @file
+/// Decides whether a request goes to the table straight or through a peer.
+
+#ifndef JASMINESPAR_SITE_TABLE_PATH_H_
+#define JASMINESPAR_SITE_TABLE_PATH_H_
+
+#include "jasminespar/core/time.h"
+#include "jasminespar/site/table.h"
+
+namespace jasminespar::site {
+
+enum class TablePath : std::uint8_t { kStraight, kThroughPeer };
+
+/// Not thread-safe; owned by the client of the table.
+class TablePathChooser {
+ public:
+  /// Watches try the straight way again this often while it fails, so that
+  /// nobody waits for the attempt.
+  static constexpr Duration kProbeInterval = 700ms;
+
+  /// @param peer_ready whether a peer says that the table serves it.
+  [[nodiscard]] TablePath Choose(const TableRequest& request, bool peer_ready,
+                                 TimePoint now) noexcept;
+
+  /// Takes in what a straight attempt gave.
+  void SeeStraight(const TableOutcome& outcome) noexcept;
+
+  /// @return whether the last straight attempt was served.
+  [[nodiscard]] bool reached() const noexcept { return reached_; }
+
+ private:
+  bool reached_ = true;
+  TimePoint last_probe_;
+};
+
+/// @return whether the table did what it was asked, or said why it cannot.
+[[nodiscard]] constexpr bool IsServed(const TableOutcome& outcome) noexcept {
+  return !std::holds_alternative<TurnedAway>(outcome) &&
+         !std::holds_alternative<NoAnswer>(outcome);
+}
+
+}  // namespace jasminespar::site
+
+#endif  // JASMINESPAR_SITE_TABLE_PATH_H_
--- /dev/null
+++ b/packages/site/src/table_path.cc
@@ -0,0 +1,19 @@
+#include "jasminespar/site/table_path.h"
+
+namespace jasminespar::site {
+
+TablePath TablePathChooser::Choose(const TableRequest& request, bool peer_ready,
+                                   TimePoint now) noexcept {
+  if (reached_ || !peer_ready) return TablePath::kStraight;
+  const bool probe = std::holds_alternative<Watch>(request) &&
+                     now - last_probe_ >= kProbeInterval;
+  if (!probe) return TablePath::kThroughPeer;
+  last_probe_ = now;
+  return TablePath::kStraight;
+}
+
+void TablePathChooser::SeeStraight(const TableOutcome& outcome) noexcept {
+  reached_ = IsServed(outcome);
+}
+
+}  // namespace jasminespar::site
--- a/tests/jobs/runs_test.cc
+++ b/tests/jobs/runs_test.cc
@@ -76,6 +76,21 @@
   CHECK(fixture.starts.size() == 1);  // The list shows that it never came.
 }
 
+TEST_CASE("a job whose cancellation was read first never starts") {
+  // Found on a day on which the table dropped its history: the table of jobs
+  // was read later than that of cancellations.
+  DispatcherFixture fixture;
+  Loaded(fixture, 1);
+  fixture.Feed(JobCancelled{kJob});
+  fixture.Feed(JobFound{DispatcherFixture::Job(kJob.value, "batch",
+                                               {DispatcherFixture::Step(1, 1)}),
+                        {}});
+  fixture.Advance(500ms);
+  CHECK(fixture.starts.empty());
+  REQUIRE_FALSE(fixture.statuses.empty());
+  CHECK(fixture.statuses.back().phase == JobPhase::kCancelled);
+}
+
 TEST_CASE("a leaving worker gets nothing new") {
   DispatcherFixture fixture;
   Loaded(fixture, 1);
