Answer callers in time, and say turned away where a request was never sent

Change: answers until 150 ms before the deadline, 50 ms for the ring's way; a write that the table turns away is refused after 400 ms with a time to come back; a connection that could not be opened counts as turned away.

--- a/packages/jobserver/include/jasminespar/jobserver/messages.h
+++ b/packages/jobserver/include/jasminespar/jobserver/messages.h
@@ -105,6 +105,8 @@
   std::uint64_t number = 0;
   site::Transaction transaction;
   Duration span{};  ///< For all attempts.
+  /// For attempts that the table turns away, when none is uncertain.
+  Duration turned_away_span = Duration::max();
 };
 struct ReadRow {
   std::uint64_t number = 0;
--- a/packages/jobserver/src/job_front.cc
+++ b/packages/jobserver/src/job_front.cc
@@ -24,14 +24,17 @@
 constexpr Duration kDefaultPatience = 3s;
 
 /// The answer must reach the caller before its patience ends.
-constexpr Duration kAnswerMargin = 250ms;
+constexpr Duration kAnswerMargin = 150ms;
 
-/// A write that the table turns away is given up after this long, so that the
-/// caller can try another instance.
+/// A write whose outcome stays unknown is given up after this long, so that
+/// the caller can try another instance.
 constexpr Duration kMaxWriteSpan = 2500ms;
 
+/// Refused this early, the caller still has time to come back.
+constexpr Duration kTurnedAwaySpan = 400ms;
+
 /// The store duty ends a write at its span; this only guards the wait.
-constexpr Duration kReplyMargin = 100ms;
+constexpr Duration kReplyMargin = 50ms;
 
 /// When a refused caller should come back, in seconds.
 constexpr std::string_view kRetryAfterSeconds = "1";
@@ -197,6 +200,7 @@
   write.transaction.writes.push_back(
       {CellRow(kStatusTable, id.value), protocol::Encode(status), {}});
   write.span = std::min(kMaxWriteSpan, call.deadline - runtime::SteadyNow());
+  write.turned_away_span = kTurnedAwaySpan;
   write.number = writes_.Open();
   const std::uint64_t number = write.number;
   const Duration span = write.span + kReplyMargin;
@@ -275,6 +279,7 @@
   WriteRows write;
   write.transaction.writes.push_back({CancellationKey(id), "", {}});
   write.span = std::min(kMaxWriteSpan, call.deadline - runtime::SteadyNow());
+  write.turned_away_span = kTurnedAwaySpan;
   write.number = writes_.Open();
   const std::uint64_t number = write.number;
   const Duration span = write.span + kReplyMargin;
--- a/packages/jobserver/src/store_link.cc
+++ b/packages/jobserver/src/store_link.cc
@@ -146,7 +146,7 @@
   while (true) {
     site::Transaction copy = transaction;
     const site::TableOutcome outcome =
-        co_await client_.Transact(std::move(copy), kReadSpan);
+        co_await client_.Transact(std::move(copy), kReadSpan, kReadSpan);
     if (std::holds_alternative<site::Committed>(outcome)) co_return;
     co_await runtime::Sleep(duty_.context(), kRetryPause);
   }
@@ -154,8 +154,8 @@
 
 asio::awaitable<void> StoreLink::Write(WriteRows request, bool for_front) {
   const TimePoint begun = runtime::SteadyNow();
-  site::TableOutcome outcome =
-      co_await client_.Transact(std::move(request.transaction), request.span);
+  site::TableOutcome outcome = co_await client_.Transact(
+      std::move(request.transaction), request.span, request.turned_away_span);
   metrics_.Observe(telemetry::Timing::kStoreRequest,
                    runtime::SteadyNow() - begun);
   WriteEnded ended{request.number, std::move(outcome)};
--- a/packages/site/include/jasminespar/site/table.h
+++ b/packages/site/include/jasminespar/site/table.h
@@ -52,7 +52,7 @@
 };
 /// Nothing was done, and asking again later may work.
 struct TurnedAway {
-  int status = 0;
+  int status = 0;  ///< 0: the request was never sent.
 };
 /// Nothing was done, and asking again will not help.
 struct Malformed {
--- a/packages/site/include/jasminespar/site/table_client.h
+++ b/packages/site/include/jasminespar/site/table_client.h
@@ -49,9 +49,11 @@
   /// After an attempt without an answer, a Conflict may be the transaction's
   /// own success: the caller compares the rows.
   /// @param span for all attempts.
+  /// @param turned_away_span for attempts that the table turns away, when none
+  ///     is uncertain; at most `span`.
   /// @return TurnedAway only when no attempt can take effect, now or later.
   [[nodiscard]] boost::asio::awaitable<TableOutcome> Transact(
-      Transaction transaction, Duration span);
+      Transaction transaction, Duration span, Duration turned_away_span);
 
   /// Reads all pages of a range, repeating what fails until `span` is over.
   /// @return of a RowPage, has_more is false and the version that of the first
--- a/packages/site/src/table_client.cc
+++ b/packages/site/src/table_client.cc
@@ -44,8 +44,9 @@
     const http::Response response =
         co_await client.Send(std::move(encoded), timeout);
     outcome = codec_.decode(request, response);
-  } catch (const Error&) {
-    // NoAnswer says it; the observer counts and logs it.
+  } catch (const Error& error) {
+    // The observer counts it and logs the change.
+    if (error.verdict() == Verdict::kNotRun) outcome = TurnedAway{};
   }
   path_.SeeStraight(outcome);
   hooks_.observe(TablePath::kStraight, outcome);
@@ -64,8 +65,10 @@
 }
 
 asio::awaitable<TableOutcome> TableClient::Transact(Transaction transaction,
-                                                    Duration span) {
-  const TimePoint deadline = runtime::SteadyNow() + span;
+                                                    Duration span,
+                                                    Duration turned_away_span) {
+  const TimePoint begun = runtime::SteadyNow();
+  const TimePoint deadline = begun + span;
   bool uncertain = false;
   TableOutcome outcome = TurnedAway{};
   while (runtime::SteadyNow() < deadline) {
@@ -73,6 +76,7 @@
     outcome = co_await Ask(std::move(request));
     if (IsServed(outcome)) co_return outcome;
     uncertain = uncertain || std::holds_alternative<NoAnswer>(outcome);
+    if (!uncertain && runtime::SteadyNow() - begun >= turned_away_span) break;
     co_await runtime::Sleep(context_, settings_.retry_pause);
   }
   if (uncertain) outcome = NoAnswer{};
