Be not ready while no way to the table is open

Change: the client of the table knows when its straight way is lost (failing for 500 ms); without a peer to relay, nothing is sent, so that the refusal is true, readiness answers 503 and each connection ends after its answer.

--- a/packages/http/include/jasminespar/http/server.h
+++ b/packages/http/include/jasminespar/http/server.h
@@ -60,9 +60,9 @@
   /// Closes the listener; open connections end after their present request.
   void StopAccepting();
 
-  /// Each connection is closed after its next answer; new ones are still
-  /// accepted.
-  void CloseAfterAnswers();
+  /// While wanted, each connection is closed after its next answer; new ones
+  /// are still accepted.
+  void CloseAfterAnswers(bool wanted);
 
   /// @return requests that were read and whose answers are not yet written.
   [[nodiscard]] std::size_t requests_in_progress() const;
--- a/packages/http/src/server.cc
+++ b/packages/http/src/server.cc
@@ -86,7 +86,7 @@
     acceptor_.close(ignored);
   }
 
-  void CloseAfterAnswers() { close_after_answers_ = true; }
+  void CloseAfterAnswers(bool wanted) { close_after_answers_ = wanted; }
 
   [[nodiscard]] std::size_t requests_in_progress() const {
     return requests_in_progress_;
@@ -268,7 +268,9 @@
 
 void Server::Start() { impl_->Start(); }
 void Server::StopAccepting() { impl_->StopAccepting(); }
-void Server::CloseAfterAnswers() { impl_->CloseAfterAnswers(); }
+void Server::CloseAfterAnswers(bool wanted) {
+  impl_->CloseAfterAnswers(wanted);
+}
 std::size_t Server::requests_in_progress() const {
   return impl_->requests_in_progress();
 }
--- a/packages/jobserver/include/jasminespar/jobserver/job_front.h
+++ b/packages/jobserver/include/jasminespar/jobserver/job_front.h
@@ -69,6 +69,7 @@
   void On(const StatusesLoaded&);
   void On(WriteEnded& ended);
   void On(ReadEnded& ended);
+  void On(const TableUsable& table);
   void On(const DrainFront&);
 
   Answer Serve(http::Request request);
@@ -103,6 +104,7 @@
   runtime::ReplyTable<site::TableOutcome> writes_;
   runtime::ReplyTable<site::TableOutcome> reads_;
   bool statuses_loaded_ = false;
+  bool table_usable_ = true;
   bool draining_ = false;
 };
 
--- a/packages/jobserver/include/jasminespar/jobserver/messages.h
+++ b/packages/jobserver/include/jasminespar/jobserver/messages.h
@@ -42,12 +42,17 @@
   site::TableOutcome outcome;
 };
 
+/// Whether some way to the table is open.
+struct TableUsable {
+  bool usable = false;
+};
+
 /// The instance is asked to leave: answer what comes, and be not ready.
 struct DrainFront {};
 
 using ToFront = std::variant<ConfigurationSeen, StatusSeen, StatusForgotten,
                              CancellationSeen, StatusesLoaded, WriteEnded,
-                             ReadEnded, DrainFront>;
+                             ReadEnded, TableUsable, DrainFront>;
 
 // ---- To the dispatcher ----
 
--- a/packages/jobserver/include/jasminespar/jobserver/store_link.h
+++ b/packages/jobserver/include/jasminespar/jobserver/store_link.h
@@ -90,6 +90,7 @@
   void ReportUnreadable(const site::Row& row, const std::string& what);
   void Observe(site::TablePath path, const site::TableOutcome& outcome);
   void TellReached();
+  void TellUsable();
 
   runtime::Duty& duty_;
   MemberSeen self_;
@@ -109,6 +110,7 @@
   TimePoint last_seen_sent_;
   TimePoint failing_since_;
   bool reached_told_ = false;
+  bool usable_told_ = true;
   bool relay_available_ = false;
 };
 
--- a/packages/jobserver/src/job_front.cc
+++ b/packages/jobserver/src/job_front.cc
@@ -119,14 +119,20 @@
   reads_.Fill(ended.number, std::move(ended.outcome));
 }
 
+void JobFront::On(const TableUsable& table) {
+  table_usable_ = table.usable;
+  // Callers that come back by a new connection are sent to other instances.
+  server_.CloseAfterAnswers(!table_usable_ || draining_);
+}
+
 void JobFront::On(const DrainFront&) {
   draining_ = true;
-  server_.CloseAfterAnswers();
+  server_.CloseAfterAnswers(true);
 }
 
 JobFront::Answer JobFront::ServeReadiness(http::Request request) {
-  const bool ready =
-      configuration_ != nullptr && statuses_loaded_ && !draining_;
+  const bool ready = configuration_ != nullptr && statuses_loaded_ &&
+                     table_usable_ && !draining_;
   http::Response response;
   response.status = ready ? kOk : HttpStatusOf(Reason::kNoConfiguration);
   if (http::PathOf(request.target) != codec_.caller.readiness_path) {
--- a/packages/jobserver/src/store_link.cc
+++ b/packages/jobserver/src/store_link.cc
@@ -28,6 +28,9 @@
 constexpr Duration kRelayTimeout = 1300ms;
 
 constexpr Duration kConfigurationPace = 50ms;
+
+/// The shortest wait of all watches: it also shows first that a way is cut.
+constexpr Duration kConfigurationWait = 500ms;
 constexpr Duration kStatusPace = 60ms;
 constexpr Duration kOwnerPace = 500ms;
 constexpr Duration kJobPace = 5ms;
@@ -112,6 +115,7 @@
                  },
                  [this](const RelayAvailable& relay) {
                    relay_available_ = relay.available;
+                   TellUsable();
                  },
              },
              message);
@@ -222,6 +226,7 @@
   follow.table = std::string(codec_.operators.configuration_table);
   follow.part = codec_.operators.configuration_row.part;
   follow.pace = kConfigurationPace;
+  follow.wait = kConfigurationWait;
   follow.on_row = [this](const site::Row& row) { TakeConfiguration(row); };
   follow.wanted = [] { return true; };
   asio::co_spawn(duty_.context(), FollowTable(std::move(follow)),
@@ -458,11 +463,18 @@
   const bool served = site::IsServed(outcome);
   if (!served) metrics_.Count(telemetry::Counter::kStoreErrors);
   if (path == site::TablePath::kStraight) TellReached();
+  TellUsable();
   if (!served || now - last_seen_sent_ < kTableSeenInterval) return;
   last_seen_sent_ = now;
   rings_.dispatch.Send(TableSeen{});
 }
 
+void StoreLink::TellUsable() {
+  const bool usable = client_.usable();
+  if (std::exchange(usable_told_, usable) == usable) return;
+  rings_.front.Send(TableUsable{usable});
+}
+
 void StoreLink::TellReached() {
   const bool reached = client_.reached();
   if (std::exchange(reached_told_, reached) == reached) return;
--- a/packages/site/include/jasminespar/site/table_client.h
+++ b/packages/site/include/jasminespar/site/table_client.h
@@ -68,6 +68,9 @@
   [[nodiscard]] boost::asio::awaitable<TableOutcome> AskStraight(
       TableRequest request);
 
+  /// @return whether some way to the table is open.
+  [[nodiscard]] bool usable() const;
+
   /// @return whether the table served the last straight attempt.
   [[nodiscard]] bool reached() const noexcept { return path_.reached(); }
 
--- a/packages/site/include/jasminespar/site/table_path.h
+++ b/packages/site/include/jasminespar/site/table_path.h
@@ -23,13 +23,22 @@
                                  TimePoint now) noexcept;
 
   /// Takes in what a straight attempt gave.
-  void SeeStraight(const TableOutcome& outcome) noexcept;
+  void SeeStraight(const TableOutcome& outcome, TimePoint now) noexcept;
+
+  /// @return whether straight attempts have failed for so long that no more
+  ///     should be waited for. Watches go on trying.
+  [[nodiscard]] bool lost(TimePoint now) const noexcept {
+    return !reached_ && now - failing_since_ > kLostAfter;
+  }
 
   /// @return whether the last straight attempt was served.
   [[nodiscard]] bool reached() const noexcept { return reached_; }
 
  private:
+  static constexpr Duration kLostAfter = 500ms;
+
   bool reached_ = true;
+  TimePoint failing_since_;
   TimePoint last_probe_;
 };
 
--- a/packages/site/src/table_client.cc
+++ b/packages/site/src/table_client.cc
@@ -14,7 +14,7 @@
 namespace {
 
 /// A watch is answered within its wait and this.
-constexpr Duration kWatchMargin = 700ms;
+constexpr Duration kWatchMargin = 500ms;
 
 /// Watches in progress at once, those of peers included.
 constexpr std::size_t kMaxWatches = 24;
@@ -48,11 +48,15 @@
     // The observer counts it and logs the change.
     if (error.verdict() == Verdict::kNotRun) outcome = TurnedAway{};
   }
-  path_.SeeStraight(outcome);
+  path_.SeeStraight(outcome, runtime::SteadyNow());
   hooks_.observe(TablePath::kStraight, outcome);
   co_return outcome;
 }
 
+bool TableClient::usable() const {
+  return !path_.lost(runtime::SteadyNow()) || hooks_.peer_ready();
+}
+
 asio::awaitable<TableOutcome> TableClient::Ask(TableRequest request) {
   const TablePath path =
       path_.Choose(request, hooks_.peer_ready(), runtime::SteadyNow());
@@ -72,8 +76,13 @@
   bool uncertain = false;
   TableOutcome outcome = TurnedAway{};
   while (runtime::SteadyNow() < deadline) {
-    TableRequest request = transaction;
-    outcome = co_await Ask(std::move(request));
+    // Nothing is sent without a way to the table: then the refusal is true.
+    if (usable()) {
+      TableRequest request = transaction;
+      outcome = co_await Ask(std::move(request));
+    } else {
+      outcome = TurnedAway{};
+    }
     if (IsServed(outcome)) co_return outcome;
     uncertain = uncertain || std::holds_alternative<NoAnswer>(outcome);
     if (!uncertain && runtime::SteadyNow() - begun >= turned_away_span) break;
--- a/packages/site/src/table_path.cc
+++ b/packages/site/src/table_path.cc
@@ -12,8 +12,11 @@
   return TablePath::kStraight;
 }
 
-void TablePathChooser::SeeStraight(const TableOutcome& outcome) noexcept {
-  reached_ = IsServed(outcome);
+void TablePathChooser::SeeStraight(const TableOutcome& outcome,
+                                   TimePoint now) noexcept {
+  const bool served = IsServed(outcome);
+  if (reached_ && !served) failing_since_ = now;
+  reached_ = served;
 }
 
 }  // namespace jasminespar::site
