Spread callers' rows over parts of their own; read parts at once

With the table 42 times slower a part carries about 4 transactions a second; acceptances and the owner's writes shared one part, so the owner's sign of life stayed unconfirmed. Change: jobs, first statuses and cancellations lie in four parts by job; the owner writes only its own. Phases only rise, so rows of two parts may be read in any order. A forgotten job's own rows go before its progress. Requests time out after 700 ms.

--- a/packages/jobserver/include/jasminespar/jobserver/dispatch_duty.h
+++ b/packages/jobserver/include/jasminespar/jobserver/dispatch_duty.h
@@ -7,6 +7,7 @@
 
 #include <atomic>
 #include <boost/asio/steady_timer.hpp>
+#include <map>
 #include <memory>
 #include <optional>
 #include <vector>
@@ -78,6 +79,7 @@
   void PerformEffect(jobs::Decision& decision);
 
   void FollowOwnership();
+  void ForgetJobRows(const std::vector<jobs::JobId>& jobs);
   void SendOwnerWrite(OwnerWrite write);
   void SendNextCommit();
   void Transmit();
@@ -104,6 +106,8 @@
   std::shared_ptr<const jobs::SiteConfiguration> configuration_;
   std::optional<OwnerWrite> in_flight_;
   std::optional<jobs::Commit> waiting_commit_;
+  std::map<std::uint64_t, jobs::JobId> forgetting_;  ///< By write.
+  std::vector<jobs::JobId> forgettable_;  ///< Their own rows are gone.
   std::uint64_t last_write_ = 0;
   bool decision_scheduled_ = false;
   bool release_wanted_ = false;
--- a/packages/jobserver/include/jasminespar/jobserver/store_link.h
+++ b/packages/jobserver/include/jasminespar/jobserver/store_link.h
@@ -10,6 +10,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "jasminespar/jobserver/event_log.h"
 #include "jasminespar/jobserver/messages.h"
@@ -52,7 +53,7 @@
   /// A table that is read whole and then followed.
   struct Follow {
     std::string table;
-    std::string part;
+    std::vector<std::string> parts;
     Duration pace{};  ///< Between two answers.
     Duration wait = kWatchWait;
     /// Called for each row that was read or has changed.
@@ -65,6 +66,11 @@
 
   Task FollowTable(Follow follow);
   Task FollowChanges(const Follow& follow, site::RowVersion after);
+  /// Reads the parts of a table at once.
+  /// @return a page of all rows with the lowest version; nothing when a part
+  ///     could not be read in time.
+  boost::asio::awaitable<std::optional<site::RowPage>> ReadParts(
+      std::string table, std::vector<std::string> parts);
 
   void FollowConfiguration();
   void FollowStatuses();
--- a/packages/jobserver/include/jasminespar/jobserver/table_layout.h
+++ b/packages/jobserver/include/jasminespar/jobserver/table_layout.h
@@ -4,22 +4,31 @@
 #ifndef JASMINESPAR_JOBSERVER_TABLE_LAYOUT_H_
 #define JASMINESPAR_JOBSERVER_TABLE_LAYOUT_H_
 
+#include <array>
 #include <string>
 #include <string_view>
 
+#include "jasminespar/core/digest.h"
 #include "jasminespar/jobs/job.h"
 #include "jasminespar/site/table.h"
 
 namespace jasminespar::jobserver {
 
-/// All rows of a cell share one part, so that one transaction can change them.
+/// What the owner writes shares one part with its own row, so that one
+/// transaction can change both.
 inline constexpr std::string_view kCellPart = "c0";
 
+/// What callers' requests write is spread over these parts: a part carries out
+/// one transaction after another, and a slow table only a few a second.
+inline constexpr std::array<std::string_view, 4> kJobParts{"j0", "j1", "j2",
+                                                           "j3"};
+
 inline constexpr std::string_view kOwnerTable = "owner";
 inline constexpr std::string_view kOwnerKey = "owner";
 inline constexpr std::string_view kJobTable = "jobs";
 inline constexpr std::string_view kProgressTable = "progress";
-/// What callers are shown, and their cancellations.
+/// What callers are shown, in the owner's part once the owner knows of the job
+/// and in the job's part from its acceptance on; and their cancellations.
 inline constexpr std::string_view kStatusTable = "states";
 /// Workers that may hold runs of this cell.
 inline constexpr std::string_view kWorkerTable = "workers";
@@ -39,8 +48,19 @@
   return CellRow(kOwnerTable, kOwnerKey);
 }
 
+[[nodiscard]] inline std::string_view JobPartOf(const jobs::JobId& job) {
+  return kJobParts[SeededHash(job.value, 0) % kJobParts.size()];
+}
+
+/// @return the key of a row that callers' requests write.
+[[nodiscard]] inline site::RowKey JobRow(std::string_view table,
+                                         const jobs::JobId& job) {
+  return {std::string(table), std::string(JobPartOf(job)), job.value};
+}
+
 [[nodiscard]] inline site::RowKey CancellationKey(const jobs::JobId& job) {
-  return CellRow(kStatusTable, std::string(kCancellationPrefix) + job.value);
+  return {std::string(kStatusTable), std::string(JobPartOf(job)),
+          std::string(kCancellationPrefix) + job.value};
 }
 
 }  // namespace jasminespar::jobserver
--- a/packages/jobserver/src/dispatch_duty.cc
+++ b/packages/jobserver/src/dispatch_duty.cc
@@ -24,6 +24,9 @@
 /// All attempts of one write; it is then sent again under the same number.
 constexpr Duration kOwnerWriteSpan = 2s;
 
+/// Nothing waits for the rows of forgotten jobs to go.
+constexpr Duration kForgetSpan = 10s;
+
 /// Candidates are spread over this many places, so that few claim at once.
 constexpr std::uint64_t kRanks = 6;
 
@@ -126,6 +129,15 @@
 }
 
 void DispatchDuty::On(WriteEnded& ended) {
+  const auto forgotten = forgetting_.find(ended.number);
+  if (forgotten != forgetting_.end()) {
+    // Rows that stay after a failure are deleted by a later owner.
+    if (std::holds_alternative<site::Committed>(ended.outcome)) {
+      forgettable_.push_back(forgotten->second);
+    }
+    forgetting_.erase(forgotten);
+    return;
+  }
   if (!in_flight_ || in_flight_->number != ended.number) return;
   OwnerWriteEnded(ended.outcome);
 }
@@ -261,16 +273,29 @@
                     protocol::Encode(worker),
                     {}});
   }
-  for (const jobs::JobId& job : commit.forgotten) {
+  for (const jobs::JobId& job : std::exchange(forgettable_, {})) {
     std::vector<site::RowKey>& deletes = write.transaction.deletes;
-    deletes.push_back(CellRow(kJobTable, job.value));
     deletes.push_back(CellRow(kProgressTable, job.value));
     deletes.push_back(CellRow(kStatusTable, job.value));
-    deletes.push_back(CancellationKey(job));
   }
+  ForgetJobRows(commit.forgotten);
   SendOwnerWrite(std::move(write));
 }
 
+void DispatchDuty::ForgetJobRows(const std::vector<jobs::JobId>& jobs) {
+  // A job without its progress would run again, so its own rows go first.
+  for (const jobs::JobId& job : jobs) {
+    WriteRows write;
+    write.number = ++last_write_;
+    write.span = kForgetSpan;
+    write.transaction.deletes = {JobRow(kJobTable, job),
+                                 JobRow(kStatusTable, job),
+                                 CancellationKey(job)};
+    forgetting_.emplace(write.number, job);
+    rings_.store.Send(std::move(write));
+  }
+}
+
 void DispatchDuty::SendOwnerWrite(OwnerWrite write) {
   // A write that is carried out late finds the row changed, and does nothing.
   write.row.write = ++last_write_;
@@ -402,6 +427,8 @@
   dispatcher_.reset();
   waiting_commit_.reset();
   in_flight_.reset();
+  forgetting_.clear();
+  forgettable_.clear();
   owns_ = false;
   rings_.store.Send(EndOwning{});
 }
--- a/packages/jobserver/src/job_front.cc
+++ b/packages/jobserver/src/job_front.cc
@@ -1,6 +1,7 @@
 #include "jasminespar/jobserver/job_front.h"
 
 #include <algorithm>
+#include <array>
 #include <utility>
 
 #include "jasminespar/core/error.h"
@@ -98,8 +99,8 @@
 
 void JobFront::On(const StatusSeen& seen) {
   jobs::JobStatus& known = statuses_[seen.status.job];
-  if (jobs::IsFinal(known.phase) && !jobs::IsFinal(seen.status.phase)) return;
-  known = seen.status;
+  // Phases only rise; rows of two parts may be read in any order.
+  if (known.phase <= seen.status.phase) known = seen.status;
 }
 
 void JobFront::On(const StatusForgotten& forgotten) {
@@ -200,11 +201,11 @@
   const jobs::JobStatus status{id, job.queue, jobs::JobPhase::kQueued,
                                job.accepted_at, job.spec.occurrences > 0};
   WriteRows write;
-  const site::RowKey job_key = CellRow(kJobTable, id.value);
+  const site::RowKey job_key = JobRow(kJobTable, id);
   write.transaction.conditions.push_back({job_key, {}});
   write.transaction.writes.push_back({job_key, protocol::Encode(job), {}});
   write.transaction.writes.push_back(
-      {CellRow(kStatusTable, id.value), protocol::Encode(status), {}});
+      {JobRow(kStatusTable, id), protocol::Encode(status), {}});
   write.span = std::min(kMaxWriteSpan, call.deadline - runtime::SteadyNow());
   write.turned_away_span = kTurnedAwaySpan;
   write.number = writes_.Open();
@@ -240,24 +241,29 @@
 
 asio::awaitable<std::optional<bool>> JobFront::FindStatus(jobs::JobId id,
                                                           TimePoint deadline) {
-  if (Knows(id)) co_return true;
-  const std::uint64_t number = reads_.Open();
-  rings_.store.Send(ReadRow{number, CellRow(kStatusTable, id.value)});
-  const std::optional<site::TableOutcome> outcome = co_await reads_.Wait(
-      number, std::max(Duration{}, deadline - runtime::SteadyNow()));
-  if (!outcome) co_return std::nullopt;
-  const auto* page = std::get_if<site::RowPage>(&*outcome);
-  if (page == nullptr) co_return std::nullopt;
-  if (page->rows.empty()) co_return Knows(id);
-  try {
-    On(StatusSeen{protocol::DecodeJobStatus(page->rows.front().value)});
-  } catch (const Error& error) {
-    log_.Log(
-        Event::kRowUnreadable,
-        {{"table", kStatusTable}, {"key", id.value}, {"fault", error.what()}});
-    co_return std::nullopt;
+  // The job's own part has a row from the acceptance on; the owner's is newer.
+  const std::array<site::RowKey, 2> keys{CellRow(kStatusTable, id.value),
+                                         JobRow(kStatusTable, id)};
+  for (const site::RowKey& key : keys) {
+    if (Knows(id)) co_return true;
+    const std::uint64_t number = reads_.Open();
+    rings_.store.Send(ReadRow{number, key});
+    const std::optional<site::TableOutcome> outcome = co_await reads_.Wait(
+        number, std::max(Duration{}, deadline - runtime::SteadyNow()));
+    const auto* page =
+        outcome ? std::get_if<site::RowPage>(&*outcome) : nullptr;
+    if (page == nullptr) co_return std::nullopt;
+    if (page->rows.empty()) continue;
+    try {
+      On(StatusSeen{protocol::DecodeJobStatus(page->rows.front().value)});
+    } catch (const Error& error) {
+      log_.Log(Event::kRowUnreadable, {{"table", kStatusTable},
+                                       {"key", id.value},
+                                       {"fault", error.what()}});
+      co_return std::nullopt;
+    }
   }
-  co_return true;
+  co_return Knows(id);
 }
 
 JobFront::Answer JobFront::Show(Call call, jobs::JobId id) {
--- a/packages/jobserver/src/store_link.cc
+++ b/packages/jobserver/src/store_link.cc
@@ -1,8 +1,14 @@
 #include "jasminespar/jobserver/store_link.h"
 
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <iterator>
 #include <map>
+#include <memory>
 #include <utility>
 
 #include "jasminespar/core/error.h"
@@ -25,7 +31,7 @@
 constexpr Duration kMemberPace = 1s;
 
 /// On top of a watch's wait: the peer's own attempt, and the way to it.
-constexpr Duration kRelayTimeout = 1300ms;
+constexpr Duration kRelayTimeout = 1s;
 
 constexpr Duration kConfigurationPace = 50ms;
 
@@ -42,6 +48,10 @@
 /// The dispatcher is told that the table answers at most this often.
 constexpr Duration kTableSeenInterval = 300ms;
 
+std::vector<std::string> JobParts() {
+  return {kJobParts.begin(), kJobParts.end()};
+}
+
 }  // namespace
 
 StoreLink::StoreLink(runtime::Duty& duty,
@@ -178,14 +188,52 @@
   rings_.front.Send(ReadEnded{request.number, std::move(outcome)});
 }
 
-asio::awaitable<void> StoreLink::FollowTable(Follow follow) {
-  while (follow.wanted()) {
-    site::RowRange range{follow.table, follow.part, "", ""};
+asio::awaitable<std::optional<site::RowPage>> StoreLink::ReadParts(
+    std::string table, std::vector<std::string> parts) {
+  struct Gathered {
+    explicit Gathered(asio::io_context& context)
+        : done(context, asio::steady_timer::time_point::max()) {}
+    asio::steady_timer done;  // Cancelled by the last part.
+    std::size_t missing = 0;
+    bool failed = false;
+    std::optional<site::RowPage> page;
+  };
+  auto gathered = std::make_shared<Gathered>(duty_.context());
+  gathered->missing = parts.size();
+  const auto read = [](StoreLink* self, site::RowRange range,
+                       std::shared_ptr<Gathered> into) -> Task {
     site::TableOutcome outcome =
-        co_await client_.ReadAll(std::move(range), kReadSpan);
-    if (!follow.wanted()) co_return;
+        co_await self->client_.ReadAll(std::move(range), kReadSpan);
     auto* page = std::get_if<site::RowPage>(&outcome);
     if (page == nullptr) {
+      into->failed = true;
+    } else if (!into->page) {
+      into->page = std::move(*page);
+    } else {
+      into->page->version = std::min(into->page->version, page->version);
+      std::move(page->rows.begin(), page->rows.end(),
+                std::back_inserter(into->page->rows));
+    }
+    if (--into->missing == 0) into->done.cancel();
+  };
+  for (const std::string& part : parts) {
+    site::RowRange range{table, part, "", ""};
+    asio::co_spawn(duty_.context(), read(this, std::move(range), gathered),
+                   asio::detached);
+  }
+  boost::system::error_code ignored;
+  co_await gathered->done.async_wait(
+      asio::redirect_error(asio::use_awaitable, ignored));
+  if (gathered->failed) co_return std::nullopt;
+  co_return std::move(gathered->page);
+}
+
+asio::awaitable<void> StoreLink::FollowTable(Follow follow) {
+  while (follow.wanted()) {
+    const std::optional<site::RowPage> page =
+        co_await ReadParts(follow.table, follow.parts);
+    if (!follow.wanted()) co_return;
+    if (!page) {
       co_await runtime::Sleep(duty_.context(), kRetryPause);
       continue;
     }
@@ -213,7 +261,9 @@
     }
     after = std::max(after, page->version);
     for (const site::Row& row : page->rows) {
-      if (row.key.part == follow.part) follow.on_row(row);
+      const bool followed = std::find(follow.parts.begin(), follow.parts.end(),
+                                      row.key.part) != follow.parts.end();
+      if (followed) follow.on_row(row);
     }
     if (!page->rows.empty()) {
       co_await runtime::Sleep(duty_.context(), follow.pace);
@@ -224,7 +274,7 @@
 void StoreLink::FollowConfiguration() {
   Follow follow;
   follow.table = std::string(codec_.operators.configuration_table);
-  follow.part = codec_.operators.configuration_row.part;
+  follow.parts = {codec_.operators.configuration_row.part};
   follow.pace = kConfigurationPace;
   follow.wait = kConfigurationWait;
   follow.on_row = [this](const site::Row& row) { TakeConfiguration(row); };
@@ -236,7 +286,8 @@
 void StoreLink::FollowStatuses() {
   Follow follow;
   follow.table = std::string(kStatusTable);
-  follow.part = std::string(kCellPart);
+  follow.parts = JobParts();
+  follow.parts.emplace_back(kCellPart);
   follow.pace = kStatusPace;
   follow.on_row = [this](const site::Row& row) { TakeStatus(row); };
   follow.on_whole = [this](const std::set<std::string>&) {
@@ -250,7 +301,7 @@
 void StoreLink::FollowOwner() {
   Follow follow;
   follow.table = std::string(kOwnerTable);
-  follow.part = std::string(kCellPart);
+  follow.parts = {std::string(kCellPart)};
   follow.pace = kOwnerPace;
   follow.on_row = [this](const site::Row& row) { TakeOwner(row); };
   follow.on_whole = [this](const std::set<std::string>& keys) {
@@ -264,7 +315,7 @@
 void StoreLink::FollowMembers() {
   Follow follow;
   follow.table = std::string(kMemberTable);
-  follow.part = std::string(kCellPart);
+  follow.parts = {std::string(kCellPart)};
   follow.pace = kMemberPace;
   follow.wait = kMemberWait;
   follow.on_row = [this](const site::Row& row) { TakeMember(row); };
@@ -278,10 +329,10 @@
   std::map<std::string, std::vector<site::Row>> tables;
   for (const std::string_view table : {kProgressTable, kWorkerTable}) {
     while (wanted() && !tables.contains(std::string(table))) {
-      site::RowRange range{std::string(table), std::string(kCellPart), "", ""};
-      site::TableOutcome outcome =
-          co_await client_.ReadAll(std::move(range), kReadSpan);
-      if (auto* page = std::get_if<site::RowPage>(&outcome)) {
+      std::vector<std::string> parts(1, std::string(kCellPart));
+      std::optional<site::RowPage> page =
+          co_await ReadParts(std::string(table), std::move(parts));
+      if (page) {
         tables[std::string(table)] = std::move(page->rows);
       } else {
         co_await runtime::Sleep(duty_.context(), kRetryPause);
@@ -313,7 +364,7 @@
   workers_loaded_ = false;
   Follow follow;
   follow.table = std::string(codec_.operators.worker_table);
-  follow.part = std::string(codec_.operators.worker_part);
+  follow.parts = {std::string(codec_.operators.worker_part)};
   follow.pace = kWorkerPace;
   follow.on_row = [this, epoch](const site::Row& row) {
     TakeWorker(row, epoch);
@@ -335,7 +386,7 @@
   jobs_loaded_ = false;
   Follow follow;
   follow.table = std::string(kJobTable);
-  follow.part = std::string(kCellPart);
+  follow.parts = JobParts();
   follow.pace = kJobPace;
   follow.on_row = [this, epoch](const site::Row& row) { TakeJob(row, epoch); };
   follow.on_whole = [this, epoch](const std::set<std::string>&) {
@@ -386,7 +437,10 @@
     return;
   }
   if (row.deleted) {
-    rings_.front.Send(StatusForgotten{{row.key.key}});
+    // The row in the owner's part goes last.
+    if (row.key.part == kCellPart) {
+      rings_.front.Send(StatusForgotten{{row.key.key}});
+    }
     return;
   }
   try {
--- a/packages/site/include/jasminespar/site/table_client.h
+++ b/packages/site/include/jasminespar/site/table_client.h
@@ -22,7 +22,7 @@
   configuration::Address address;
   /// Of one request; a healthy table answers within some tens of
   /// milliseconds, a slow one within a few hundred.
-  Duration request_timeout = 900ms;
+  Duration request_timeout = 700ms;
   Duration retry_pause = 60ms;
   std::size_t max_connections = 12;
 };
