--- a/packages/site/src/table_client.cc
+++ b/packages/site/src/table_client.cc
@@ -85,7 +85,8 @@
     }
     if (IsServed(outcome)) co_return outcome;
     uncertain = uncertain || std::holds_alternative<NoAnswer>(outcome);
-    if (!uncertain && runtime::SteadyNow() - begun >= turned_away_span) break;
+    const bool hopeful = uncertain && usable();
+    if (!hopeful && runtime::SteadyNow() - begun >= turned_away_span) break;
     co_await runtime::Sleep(context_, settings_.retry_pause);
   }
   if (uncertain) outcome = NoAnswer{};
