--- a/packages/jobs/include/jasminespar/jobs/dispatcher.h
+++ b/packages/jobs/include/jasminespar/jobs/dispatcher.h
@@ -13,12 +13,8 @@
 
 /// Bounds that the site promises about its workers, and the owner's patience.
 struct DispatcherSettings {
-  Duration max_lease = 10s;          ///< Longest lease that a worker grants.
-  Duration status_retention = 120s;  ///< A final job is shown this long.
-  Duration gang_patience = 3s;   ///< A member waits this long for the others.
-  Duration early_start = 250ms;  ///< Allowed before an occurrence is due.
-  Duration stop_limit = 900ms;   ///< A stop takes at most this long.
-  double remote_slowdown = 3.0;  ///< Of tasks away from their rack.
+  Duration max_lease = 10s;           ///< Longest lease that a worker grants.
+  Duration status_retention = 120s;   ///< A final job is shown this long.
   Duration checkpoint_interval = 1s;  ///< Work between two checkpoints.
   /// An owner that lost the cell may renew leases this long after a takeover.
   Duration predecessor_renews = 5s;
--- a/packages/jobs/src/looks.cc
+++ b/packages/jobs/src/looks.cc
@@ -51,7 +51,6 @@
                                 const Now& now) {
   worker.look_soon = false;
   ++worker.looks_in_flight;
-  worker.acknowledged_to = worker.durable_to;
   Send(worker, PendingOrder{}, LookAtWorker{worker.durable_to, wait}, now);
 }
 
@@ -111,7 +110,6 @@
   worker.processed_to = 0;
   worker.committing_to = 0;
   worker.durable_to = 0;
-  worker.acknowledged_to = 0;
   worker.failures_in_row = 0;
 }
 
--- a/packages/jobs/src/worker_pool.h
+++ b/packages/jobs/src/worker_pool.h
@@ -56,7 +56,6 @@
   std::uint64_t processed_to = 0;   ///< Ends taken in.
   std::uint64_t committing_to = 0;  ///< Of these, on the way to the table.
   std::uint64_t durable_to = 0;     ///< Of these, safe to acknowledge.
-  std::uint64_t acknowledged_to = 0;
 
   std::uint32_t looks_in_flight = 0;
   TimePoint next_look;
--- a/packages/jobserver/src/job_server.cc
+++ b/packages/jobserver/src/job_server.cc
@@ -57,9 +57,6 @@
   jobs::DispatcherSettings dispatcher;
   dispatcher.max_lease = settings.max_lease;
   dispatcher.status_retention = settings.status_retention;
-  dispatcher.gang_patience = settings.gang_patience;
-  dispatcher.early_start = settings.early_start;
-  dispatcher.stop_limit = settings.stop_limit;
   dispatcher.checkpoint_interval = settings.checkpoint_interval;
   return dispatcher;
 }
--- a/packages/settings/include/jasminespar/settings/job_server_settings.h
+++ b/packages/settings/include/jasminespar/settings/job_server_settings.h
@@ -30,9 +30,6 @@
 
   Duration max_lease{};
   Duration status_retention{};
-  Duration gang_patience{};
-  Duration early_start{};
-  Duration stop_limit{};
   Duration checkpoint_interval{};
   Duration shutdown_grace{};
 
--- /dev/null
+++ b/tests/fleet/codec_test.cc
@@ -0,0 +1,196 @@
+// The users' platform's formats: what is sent, what is understood, and what
+// hostile or foreign texts do.
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+#include <random>
+#include <string>
+
+#include "jasminespar/fleet/fleet_codec.h"
+
+namespace jasminespar::fleet {
+namespace {
+
+using Json = nlohmann::json;
+
+const site::SiteCodec kCodec = MakeFleetCodec();
+
+jobs::SendOrder OrderOf(jobs::WorkerOrder what) {
+  jobs::SendOrder order;
+  order.worker.value = "i-1";
+  order.lease_until.value = 486'000;
+  order.what = std::move(what);
+  return order;
+}
+
+http::Response ResponseOf(int status, std::string body) {
+  http::Response response;
+  response.status = status;
+  response.body = std::move(body);
+  return response;
+}
+
+TEST_CASE("a start carries task, run, lease, epoch and checkpoint") {
+  jobs::StartRun start;
+  start.task = {{"5c0e7a21d94b36f8"}, 0, 1, 17};
+  start.run.value = 2;
+  start.payload = std::make_shared<const std::string>("text");
+  start.checkpoint = "00000bb8";
+  const http::Request request =
+      kCodec.worker.encode_order(OrderOf(start), Epoch{7, 0});
+  CHECK(request.target == "/jasminespar/run-start");
+  CHECK(http::HeaderOf(request.headers, "Expect-Instance") == "i-1");
+  const Json body = Json::parse(request.body);
+  CHECK(body == Json{{"task", "5c0e7a21d94b36f8.0.1.17"},
+                     {"run", 2},
+                     {"spec", "text"},
+                     {"until_ms", 486'000},
+                     {"fence", 7},
+                     {"checkpoint", "00000bb8"}});
+}
+
+TEST_CASE("a worker's lists become runs and ends") {
+  const jobs::SendOrder look = OrderOf(jobs::LookAtWorker{});
+  const jobs::OrderOutcome outcome = kCodec.worker.decode_answer(
+      look,
+      ResponseOf(200,
+                 R"({"clock_ms":482113,"born":17,)"
+                 R"("running_count":[["5c0e7a21d94b36f8.0.1.17",2,"0b",41,3]],)"
+                 R"("finished":[[58,"5c0e7a21d94b36f8.0.1.9",1,"done",""]]})"));
+  REQUIRE(std::holds_alternative<jobs::WorkerReport>(outcome));
+  const auto& report = std::get<jobs::WorkerReport>(outcome);
+  CHECK(report.clock.value == 482'113);
+  CHECK(report.incarnation.value == 17);
+  REQUIRE(report.runs.size() == 1);
+  CHECK(report.runs[0].task.index == 17);
+  CHECK(report.runs[0].percent == 41);
+  REQUIRE(report.ends.size() == 1);
+  CHECK(report.ends[0].ending == jobs::RunEnding::kDone);
+}
+
+TEST_CASE("an answer that does not say what was done counts as none") {
+  const jobs::SendOrder stop = OrderOf(jobs::StopRun{});
+  for (const int status : {500, 502, 504}) {
+    CHECK(std::holds_alternative<jobs::OrderUnanswered>(
+        kCodec.worker.decode_answer(stop, ResponseOf(status, ""))));
+  }
+  CHECK(std::holds_alternative<jobs::OrderUnanswered>(
+      kCodec.worker.decode_answer(stop, ResponseOf(200, "{"))));
+  const auto refused = kCodec.worker.decode_answer(
+      stop, ResponseOf(409, R"({"reason":"fence"})"));
+  REQUIRE(std::holds_alternative<jobs::OrderRefused>(refused));
+  CHECK(std::get<jobs::OrderRefused>(refused).refusal ==
+        jobs::OrderRefusal::kFenced);
+}
+
+TEST_CASE("rows keep any bytes on their way through the table") {
+  std::mt19937 random(7);
+  for (std::size_t size = 0; size < 40; ++size) {
+    std::string bytes(size, '\0');
+    for (char& byte : bytes) byte = static_cast<char>(random());
+    site::Transaction transaction;
+    transaction.writes.push_back({{"t", "p", "k"}, bytes, {}});
+    const Json sent = Json::parse(kCodec.table.encode(transaction).body);
+    Json row = sent["upserts"][0];
+    row["ver"] = 5;
+    const Json page{{"rows", {row}}, {"has_more", false}, {"ver", 9}};
+    const site::TableOutcome outcome =
+        kCodec.table.decode(site::RowRange{}, ResponseOf(200, page.dump()));
+    REQUIRE(std::holds_alternative<site::RowPage>(outcome));
+    CHECK(std::get<site::RowPage>(outcome).rows.at(0).value == bytes);
+  }
+}
+
+TEST_CASE("only what surely did nothing counts as turned away") {
+  const site::TableRequest request = site::Transaction{};
+  CHECK(std::holds_alternative<site::TurnedAway>(
+      kCodec.table.decode(request, ResponseOf(503, ""))));
+  CHECK(std::holds_alternative<site::TurnedAway>(
+      kCodec.table.decode(request, ResponseOf(429, ""))));
+  CHECK(std::holds_alternative<site::NoAnswer>(
+      kCodec.table.decode(request, ResponseOf(500, ""))));
+  CHECK(std::holds_alternative<site::NoAnswer>(
+      kCodec.table.decode(request, ResponseOf(200, "no json"))));
+}
+
+TEST_CASE("hostile bodies of jobs are refused with a reason") {
+  for (const char* body : {
+           "",
+           "[]",
+           "{",
+           R"({"steps":[]})",
+           R"({"steps":[{"count":0}]})",
+           R"({"steps":[{"count":-1}]})",
+           R"({"steps":[{"count":1,"cpu":-5}]})",
+           R"({"steps":[{"count":1,"after":[0]}]})",
+           R"({"steps":[{"count":4000000000}]})",
+           R"({"steps":[{"count":90000}],"times":90000})",
+           R"({"steps":{"count":1}})",
+           R"({"spec":7,"steps":[{"count":1}]})",
+       }) {
+    CAPTURE(body);
+    CHECK(std::holds_alternative<site::DecodeFault>(
+        kCodec.caller.decode_job(body)));
+  }
+  const std::string deep(100'000, '[');
+  CHECK(std::holds_alternative<site::DecodeFault>(
+      kCodec.caller.decode_job(deep)));
+}
+
+TEST_CASE("a job's body becomes steps of tasks") {
+  const auto decoded = kCodec.caller.decode_job(
+      R"({"spec":"x","times":2,"start_at_ms":5,"interval_ms":100,"steps":[)"
+      R"({"count":4,"cpu":500,"mem_mb":256,"gpu":2,"estimate_ms":900,)"
+      R"("affinity":"r1-3","gang":true,"same_rack":true},)"
+      R"({"count":1,"after":[0],"checkpointing":true,"anti_affinity":1}]})");
+  REQUIRE(std::holds_alternative<jobs::JobSpec>(decoded));
+  const auto& spec = std::get<jobs::JobSpec>(decoded);
+  CHECK(spec.occurrences == 2);
+  CHECK(spec.interval == 100ms);
+  REQUIRE(spec.steps.size() == 2);
+  CHECK(spec.steps[0].need == jobs::Resources{500, 256, 2});
+  CHECK(spec.steps[0].gang);
+  CHECK(spec.steps[0].one_rack);
+  CHECK(spec.steps[0].preferred_rack == "r1-3");
+  CHECK(spec.steps[1].after == std::vector<std::uint32_t>{0});
+  CHECK(spec.steps[1].spread_limit == 1);
+}
+
+TEST_CASE("an entry of another writer names no worker") {
+  site::Row row;
+  row.key.key = "i-1";
+  for (
+      const char* value :
+      {"", "{}", "7", R"({"service":"s","addr":"10.0.0.1:80"})",
+       R"({"service":"s","addr":"10.0.0.1","state":"ready","capacity":{}})",
+       R"({"service":"s","addr":"10.0.0.1:80","state":"odd","capacity":{}})",
+       R"({"service":7,"addr":"10.0.0.1:80","state":"ready","capacity":{}})"}) {
+    row.value = value;
+    CAPTURE(value);
+    CHECK(std::holds_alternative<site::DecodeFault>(
+        kCodec.operators.decode_worker(row)));
+  }
+  row.value =
+      R"({"service":"s","addr":"10.0.0.1:80","state":"draining",)"
+      R"("capacity":{"cpu":1,"mem_mb":2,"gpu":3},"labels":["a","r1-3"]})";
+  const auto decoded = kCodec.operators.decode_worker(row);
+  REQUIRE(std::holds_alternative<jobs::WorkerEntry>(decoded));
+  CHECK(std::get<jobs::WorkerEntry>(decoded).leaving);
+  CHECK(std::get<jobs::WorkerEntry>(decoded).rack == "r1-3");
+}
+
+TEST_CASE("random bytes in place of any answer never throw") {
+  std::mt19937 random(11);
+  for (int i = 0; i < 2'000; ++i) {
+    std::string body(random() % 64, '\0');
+    for (char& byte : body) byte = "{}[]\":,0az\xff"[random() % 11];
+    const http::Response response = ResponseOf(200, body);
+    CHECK_NOTHROW(kCodec.table.decode(site::Watch{}, response));
+    CHECK_NOTHROW(
+        kCodec.worker.decode_answer(OrderOf(jobs::LookAtWorker{}), response));
+    CHECK_NOTHROW(kCodec.caller.decode_job(body));
+    CHECK_NOTHROW(kCodec.operators.decode_configuration(body));
+  }
+}
+
+}  // namespace
+}  // namespace jasminespar::fleet
--- /dev/null
+++ b/tests/protocol/job_records_test.cc
@@ -0,0 +1,90 @@
+// Rows of a cell and messages of the relay: what is written is read again, and
+// damaged bytes are refused.
+#include "jasminespar/protocol/job_records.h"
+
+#include <catch2/catch.hpp>
+#include <random>
+
+#include "jasminespar/core/error.h"
+#include "jasminespar/protocol/relay_message.h"
+
+namespace jasminespar::protocol {
+namespace {
+
+jobs::JobProgress SomeProgress() {
+  jobs::JobProgress progress;
+  progress.job.value = "00000000000000aa";
+  progress.phase = jobs::JobPhase::kRunning;
+  jobs::TaskProgress done;
+  done.step = 1;
+  done.index = 17;
+  done.done = true;
+  jobs::TaskProgress failed;
+  failed.index = 3;
+  failed.failed_runs = {{11}, {12}};
+  failed.checkpoint = "0b";
+  progress.tasks = {failed, done};
+  return progress;
+}
+
+TEST_CASE("progress is read as it was written") {
+  const jobs::JobProgress written = SomeProgress();
+  const jobs::JobProgress read = DecodeJobProgress(Encode(written));
+  CHECK(read.job == written.job);
+  CHECK(read.phase == written.phase);
+  CHECK(read.tasks == written.tasks);
+}
+
+TEST_CASE("a job is read as it was written") {
+  jobs::AcceptedJob written;
+  written.id.value = "00000000000000aa";
+  written.queue.value = "q";
+  written.account.value = "school";
+  written.accepted_at.value = 5;
+  jobs::StepSpec step;
+  step.count = 3;
+  step.need = {1, 2, 3};
+  step.gang = true;
+  step.preferred_rack = "r1";
+  written.spec.steps = {step, step};
+  written.spec.steps[1].after = {0};
+  const jobs::AcceptedJob read = DecodeAcceptedJob(Encode(written));
+  CHECK(read.id == written.id);
+  CHECK(read.spec == written.spec);
+}
+
+TEST_CASE("a relayed request and its outcome are read as they were sent") {
+  site::Transaction transaction;
+  transaction.conditions.push_back({{"t", "p", "k"}, {7}});
+  transaction.writes.push_back({{"t", "p", "k"}, "value", {}});
+  const RelayMessage ask = RelayAsk{5, transaction};
+  const RelayMessage asked = DecodeRelayMessage(Encode(ask));
+  REQUIRE(std::holds_alternative<RelayAsk>(asked));
+  const auto& request = std::get<RelayAsk>(asked).request;
+  CHECK(std::get<site::Transaction>(request).conditions.at(0).version.value ==
+        7);
+  const RelayMessage reply = RelayReply{5, site::Committed{{9}}};
+  const RelayMessage replied = DecodeRelayMessage(Encode(reply));
+  const auto& outcome = std::get<RelayReply>(replied).outcome;
+  CHECK(std::get<site::Committed>(outcome).version.value == 9);
+}
+
+TEST_CASE("damaged rows are refused and never read past their end") {
+  const std::string whole = Encode(SomeProgress());
+  for (std::size_t size = 0; size < whole.size(); ++size) {
+    CHECK_THROWS_AS(DecodeJobProgress(whole.substr(0, size)), Error);
+  }
+  std::mt19937 random(3);
+  for (int i = 0; i < 2'000; ++i) {
+    std::string damaged = whole;
+    damaged[random() % damaged.size()] = static_cast<char>(random());
+    try {
+      static_cast<void>(DecodeJobProgress(damaged));
+    } catch (const Error&) {
+      SUCCEED();
+    }
+  }
+}
+
+}  // namespace
+}  // namespace jasminespar::protocol
