Tell callers after 150 ms that no way to the table is open

Change: 150 ms. Conclusion: an outage of the whole table that is longer than the callers' 3 s costs what comes in it; the answer is now at once.

--- a/packages/jobserver/src/job_front.cc
+++ b/packages/jobserver/src/job_front.cc
@@ -32,7 +32,7 @@
 constexpr Duration kMaxWriteSpan = 2500ms;
 
 /// Refused this early, the caller still has time to come back.
-constexpr Duration kTurnedAwaySpan = 400ms;
+constexpr Duration kTurnedAwaySpan = 150ms;
 
 /// The store duty ends a write at its span; this only guards the wait.
 constexpr Duration kReplyMargin = 50ms;
