Let the lease of a silent worker run out, and start its work elsewhere

Cause: every look and every repeated stop moved the time at which a worker's lease is surely over, also when the worker did not answer. Ruled out: the goodbye window (a worker taken away at short notice leaves its entry to lapse); connections refused as a sign of death (a cut may refuse as well while the worker runs on). Change: a stop grants no lease, nor does anything sent to a worker that has been silent; the first answer brings the lease back at once. Stops wait for that answer too.

--- a/packages/jobs/src/orders.cc
+++ b/packages/jobs/src/orders.cc
@@ -23,7 +23,13 @@
   const OrderNumber number{++last_order_};
   pending.worker = worker.entry.name;
   pending.sent_at = now.steady;
-  const WorkerClock until = LeaseUntil(worker, settings_.max_lease, now.steady);
+  // A stop grants nothing. Nor does anything that a silent worker is sent: what
+  // it runs must end some time, so that it can start elsewhere.
+  const bool grants =
+      pending.kind != PendingOrder::Kind::kStop && !worker.silent;
+  const WorkerClock until =
+      grants ? LeaseUntil(worker, settings_.max_lease, now.steady)
+             : WorkerClock{};
   if (until.value != 0) {
     worker.lease_over_at = std::max(
         worker.lease_over_at, LeaseOverAt(settings_.max_lease, now.steady));
@@ -132,6 +138,7 @@
 }
 
 void Dispatcher::Impl::RetryOrders(WorkerState& worker, const Now& now) {
+  if (worker.silent) return;  // Looks show when it can be reached again.
   for (auto& [name, hold] : worker.holds) {
     if (hold.in_flight || now.steady < hold.retry_at) continue;
     if (hold.phase == HoldPhase::kStarting) {
--- a/tests/jobs/dispatcher_fixture.h
+++ b/tests/jobs/dispatcher_fixture.h
@@ -6,6 +6,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -123,6 +124,11 @@
   std::map<std::string, bool> mute;  ///< Workers whose looks get no answer.
   std::vector<SendOrder> starts;
   std::vector<SendOrder> stops;
+  std::size_t stops_sent = 0;
+  /// Unset: stops wait for the test.
+  std::optional<OrderOutcome> answer_stops_with;
+  /// Milliseconds on the worker's clock; 0: the look asked for no lease.
+  std::map<std::string, std::uint64_t> lease_of_last_look;
   std::vector<JobStatus> statuses;
   std::map<JobId, JobProgress> progress;
   std::vector<WorkerName> departed;
@@ -147,10 +153,13 @@
       return;
     }
     if (std::holds_alternative<StopRun>(order.what)) {
-      stops.push_back(std::move(order));
+      ++stops_sent;
+      stops.push_back(order);
+      if (answer_stops_with) Answer(order, *answer_stops_with);
       return;
     }
     const auto& look = std::get<LookAtWorker>(order.what);
+    lease_of_last_look[order.worker.value] = order.lease_until.value;
     acknowledged = std::max(acknowledged, look.acknowledge_to);
     WorkerReport& report = reports[order.worker.value];
     std::erase_if(report.ends, [&](const ListedEnd& end) {
