Reclaim room before its bound only at a loss that is worth it

Every guaranteed step stopped others after 250 ms, whatever it threw away. Change: until shortly before the bound (reclaim_within less stop_limit), others are stopped only if the loss is at most twice the work that the step itself does. A stop writes a checkpoint, so only the way back to it counts as lost; the setting checkpoint_interval gives way to resume_delay.

--- a/packages/jobs/include/jasminespar/jobs/dispatcher.h
+++ b/packages/jobs/include/jasminespar/jobs/dispatcher.h
@@ -15,7 +15,10 @@
 struct DispatcherSettings {
   Duration max_lease = 10s;           ///< Longest lease that a worker grants.
   Duration status_retention = 120s;   ///< A final job is shown this long.
-  Duration checkpoint_interval = 1s;  ///< Work between two checkpoints.
+  /// Until a task that was stopped with a checkpoint works again.
+  Duration resume_delay = 250ms;
+  Duration stop_limit = 900ms;       ///< A stopped run is over by then.
+  Duration reclaim_within = 3400ms;  ///< Guaranteed work has begun by then.
   /// An owner that lost the cell may renew leases this long after a takeover.
   Duration predecessor_renews = 5s;
   /// It may start tasks this long after a takeover.
--- a/packages/jobs/src/dispatcher_impl.h
+++ b/packages/jobs/src/dispatcher_impl.h
@@ -137,6 +137,9 @@
   void DropPlan(JobState& job, StepState& step);
   [[nodiscard]] bool IsEntitled(const JobState& job,
                                 const StepState& step) const;
+  [[nodiscard]] bool IsWorthItsLoss(const JobState& job, const StepState& step,
+                                    const std::vector<Offer>& offers,
+                                    const Now& now) const;
   [[nodiscard]] std::vector<Victim> VictimsOn(const WorkerState& worker,
                                               const Now& now) const;
   [[nodiscard]] Offer OfferOf(const Candidate& candidate, const Resources& need,
--- a/packages/jobs/src/job_table.h
+++ b/packages/jobs/src/job_table.h
@@ -37,6 +37,7 @@
   /// Worker reserved for each task by a reclaim; empty: no plan.
   std::vector<WorkerName> plan;
   TimePoint planned_at;
+  TimePoint next_reclaim;
 
   [[nodiscard]] bool finished() const noexcept { return done == tasks.size(); }
   [[nodiscard]] bool waiting() const noexcept {
--- a/packages/jobs/src/reclaim.cc
+++ b/packages/jobs/src/reclaim.cc
@@ -14,6 +14,16 @@
 constexpr double kMillicoresPerCore = 1000.0;
 constexpr double kMicrosecondsPerSecond = 1e6;
 
+/// Before its bound, guaranteed work throws away at most this many times what
+/// it works itself.
+constexpr double kWorthwhileLoss = 2.0;
+
+/// Of the bound, for orders and their answers on the way.
+constexpr Duration kReclaimMargin = 600ms;
+
+/// Between two looks for room that is worth its loss.
+constexpr Duration kReclaimRetryInterval = 200ms;
+
 /// A plan that has not led to a start by then is made anew.
 constexpr Duration kPlanLifetime = 2500ms;
 
@@ -69,10 +79,11 @@
     if (found == jobs_.end()) continue;
     const StepSpec& spec = found->second.job.spec.steps[name.step];
     if (spec.long_running) continue;
+    // A stop writes a checkpoint, so that only the way back to it is lost.
+    const Duration worked = now.steady - *hold.confirmed_at;
     const Duration since = spec.checkpointing
-                               ? std::min(settings_.checkpoint_interval,
-                                          now.steady - *hold.confirmed_at)
-                               : now.steady - *hold.confirmed_at;
+                               ? std::min(settings_.resume_delay, worked)
+                               : worked;
     const double seconds =
         static_cast<double>(since.count()) / kMicrosecondsPerSecond;
     const double members = spec.gang ? spec.count : 1;
@@ -120,6 +131,22 @@
   return chosen;
 }
 
+bool Dispatcher::Impl::IsWorthItsLoss(const JobState& job,
+                                      const StepState& step,
+                                      const std::vector<Offer>& offers,
+                                      const Now& now) const {
+  const Duration latest =
+      settings_.reclaim_within - settings_.stop_limit - kReclaimMargin;
+  if (job.AgeAt(now.steady) >= latest) return true;
+  double loss = 0;
+  for (const Offer& offer : offers) loss += offer.loss;
+  const StepSpec& spec = job.SpecOf(step);
+  const double seconds =
+      static_cast<double>(spec.estimate.count()) / kMicrosecondsPerSecond;
+  const double work = seconds * CoresOf(spec.need) * spec.count;
+  return loss <= kWorthwhileLoss * work;
+}
+
 void Dispatcher::Impl::Reclaim(JobState& job, StepState& step, const Now& now) {
   const StepSpec& spec = job.SpecOf(step);
   const Resources need = NeedOf(spec);
@@ -145,6 +172,10 @@
   }
   if (chosen.empty()) chosen = CheapestOffers(std::move(all), tasks);
   if (chosen.empty()) return;
+  if (!IsWorthItsLoss(job, step, chosen, now)) {
+    step.next_reclaim = now.steady + kReclaimRetryInterval;
+    return;
+  }
   step.planned_at = now.steady;
   for (const Offer& offer : chosen) {
     for (std::uint32_t i = 0; i < offer.tasks && step.plan.size() < tasks;
--- a/packages/jobs/src/starts.cc
+++ b/packages/jobs/src/starts.cc
@@ -101,8 +101,9 @@
   if (!step.plan.empty() && StartPlanned(job, step, now)) return;
   if (!step.plan.empty()) return;
   if (gang ? StartGang(job, step, now) : StartTasks(job, step, now)) return;
-  if (job.queue.priority != 0 || !IsEntitled(job, step)) return;
+  if (job.queue.priority != 0 || now.steady < step.next_reclaim) return;
   if (job.AgeAt(now.steady) < kReclaimPatience) return;
+  if (!IsEntitled(job, step)) return;
   Reclaim(job, step, now);
 }
 
--- a/packages/jobserver/src/job_server.cc
+++ b/packages/jobserver/src/job_server.cc
@@ -57,7 +57,9 @@
   jobs::DispatcherSettings dispatcher;
   dispatcher.max_lease = settings.max_lease;
   dispatcher.status_retention = settings.status_retention;
-  dispatcher.checkpoint_interval = settings.checkpoint_interval;
+  dispatcher.resume_delay = settings.resume_delay;
+  dispatcher.stop_limit = settings.stop_limit;
+  dispatcher.reclaim_within = settings.reclaim_within;
   return dispatcher;
 }
 
--- a/packages/settings/include/jasminespar/settings/job_server_settings.h
+++ b/packages/settings/include/jasminespar/settings/job_server_settings.h
@@ -30,7 +30,9 @@
 
   Duration max_lease{};
   Duration status_retention{};
-  Duration checkpoint_interval{};
+  Duration resume_delay{};
+  Duration stop_limit{};
+  Duration reclaim_within{};
   Duration shutdown_grace{};
 
   std::uint32_t max_connections = 0;
