Serve work that can still be in time before work that cannot

Cause: within a priority the oldest step went first; under a burst one late job after another was served, each too late to earn in full. Change: of one priority, steps whose estimate still fits the objective come first; then the oldest.

--- a/packages/jobs/src/dispatcher_impl.h
+++ b/packages/jobs/src/dispatcher_impl.h
@@ -26,6 +26,7 @@
   JobState* job = nullptr;
   StepState* step = nullptr;
   bool hopeless = false;  ///< Too late to earn anything.
+  bool late = false;      ///< Too late to earn in full.
   std::uint32_t priority = 0;
   Duration age{};
 };
--- a/packages/jobs/src/starts.cc
+++ b/packages/jobs/src/starts.cc
@@ -40,16 +40,18 @@
     JobState& job = jobs_.at(id);
     const Duration age = job.AgeAt(now.steady);
     const bool timed = job.job.spec.occurrences > 0;
-    const bool hopeless = !timed && age > kHopelessFactor * ObjectiveOf(job);
+    const Duration objective = ObjectiveOf(job);
+    const bool hopeless = !timed && age > kHopelessFactor * objective;
     for (StepState& step : job.steps) {
       if (!step.waiting() || !MayStart(job, step, now)) continue;
-      waiting.push_back({&job, &step, hopeless, job.queue.priority, age});
+      const bool late = !timed && age + job.SpecOf(step).estimate > objective;
+      waiting.push_back({&job, &step, hopeless, late, job.queue.priority, age});
     }
   }
   std::stable_sort(waiting.begin(), waiting.end(),
                    [](const WaitingStep& a, const WaitingStep& b) {
-                     return std::tuple(a.hopeless, a.priority, -a.age) <
-                            std::tuple(b.hopeless, b.priority, -b.age);
+                     return std::tuple(a.hopeless, a.priority, a.late, -a.age) <
+                            std::tuple(b.hopeless, b.priority, b.late, -b.age);
                    });
   return waiting;
 }
