Keep some workers empty for urgent work while other work can wait

Cause: other work takes every free worker, although it has twice its own length to wait; urgent work, which has a second, then has to stop it. Change: work of lower priority leaves six of a hundred suitable workers empty until it has waited as long as its estimate.

--- a/packages/jobs/src/dispatcher_impl.h
+++ b/packages/jobs/src/dispatcher_impl.h
@@ -123,6 +123,9 @@
   [[nodiscard]] bool MayLeaveRack(const JobState& job, const StepState& step,
                                   std::uint32_t tasks, const Now& now) const;
   void ServeStep(const WaitingStep& waiting, const Now& now);
+  [[nodiscard]] std::vector<Candidate> RoomFor(const JobState& job,
+                                               const StepState& step,
+                                               const Now& now);
   bool StartGang(JobState& job, StepState& step, const Now& now);
   bool StartTasks(JobState& job, StepState& step, const Now& now);
   void StartOne(JobState& job, StepState& step, std::uint32_t index,
--- a/packages/jobs/src/starts.cc
+++ b/packages/jobs/src/starts.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <cmath>
 #include <tuple>
 #include <utility>
 
@@ -17,6 +18,9 @@
 /// Guaranteed work waits this long for room before others are stopped.
 constexpr Duration kReclaimPatience = 250ms;
 
+/// Share of the workers kept empty for urgent work while other work can wait.
+constexpr double kReservedShare = 0.06;
+
 /// Work waits at most this long for its rack, whatever its length.
 constexpr Duration kMaxRackPatience = 4s;
 
@@ -109,6 +113,28 @@
   Reclaim(job, step, now);
 }
 
+std::vector<Candidate> Dispatcher::Impl::RoomFor(const JobState& job,
+                                                 const StepState& step,
+                                                 const Now& now) {
+  std::vector<Candidate> candidates =
+      CandidatesFor(workers_, job, step, now.steady);
+  const StepSpec& spec = job.SpecOf(step);
+  const bool pressing = job.queue.priority == 0 || spec.long_running ||
+                        job.AgeAt(now.steady) > spec.estimate;
+  if (pressing) return candidates;
+  const auto empty = [](const Candidate& candidate) {
+    return candidate.worker->holds.empty();
+  };
+  const auto kept = static_cast<std::ptrdiff_t>(
+      std::ceil(kReservedShare * static_cast<double>(candidates.size())));
+  std::ptrdiff_t spare =
+      std::count_if(candidates.begin(), candidates.end(), empty) - kept;
+  std::erase_if(candidates, [&](const Candidate& candidate) {
+    return empty(candidate) && spare-- <= 0;
+  });
+  return candidates;
+}
+
 bool Dispatcher::Impl::StartGang(JobState& job, StepState& step,
                                  const Now& now) {
   const auto tasks = static_cast<std::uint32_t>(step.tasks.size());
@@ -116,7 +142,7 @@
                            MayLeaveRack(job, step, tasks, now),
                            step.tasks.front().failed_on};
   const std::vector<WorkerState*> chosen =
-      PlaceGang(CandidatesFor(workers_, job, step, now.steady), request);
+      PlaceGang(RoomFor(job, step, now), request);
   if (chosen.empty()) return false;
   const RunNumber run = NextRun();
   for (std::uint32_t i = 0; i < tasks; ++i) {
@@ -127,8 +153,7 @@
 
 bool Dispatcher::Impl::StartTasks(JobState& job, StepState& step,
                                   const Now& now) {
-  std::vector<Candidate> candidates =
-      CandidatesFor(workers_, job, step, now.steady);
+  std::vector<Candidate> candidates = RoomFor(job, step, now);
   PlacementRequest request{
       &job.SpecOf(step), 1, MayLeaveRack(job, step, 1, now), {}};
   for (std::uint32_t i = 0; i < step.tasks.size(); ++i) {
