--- a/packages/jobs/src/starts.cc
+++ b/packages/jobs/src/starts.cc
@@ -19,7 +19,7 @@
 constexpr Duration kReclaimPatience = 250ms;
 
 /// Share of the workers kept empty for urgent work while other work can wait.
-constexpr double kReservedShare = 0.06;
+constexpr double kReservedShare = 0.12;
 
 /// Work waits at most this long for its rack, whatever its length.
 constexpr Duration kMaxRackPatience = 4s;
