Keep an owner's commit within what a transaction of the table may hold

Cause: one commit named every worker that had come or gone beside up to 30 jobs. Change: a commit holds at most 80 rows and the progress of 4,000 tasks, jobs first; what is left goes into the next one. Rows of forgotten jobs are bounded as well (they were not). A write that the table cannot take is logged (8008) and makes the owner step down instead of sending it for ever. The share kept empty is rounded down now, so that sites of a few workers keep none: four older tests on one or two workers had turned red on it.

--- a/packages/jobs/include/jasminespar/jobs/messages.h
+++ b/packages/jobs/include/jasminespar/jobs/messages.h
@@ -111,6 +111,14 @@
   WorkerOrder what;
 };
 
+/// Rows that one commit writes or deletes, at most, without those of forgotten
+/// jobs. A table takes a hundred rows in one transaction.
+inline constexpr std::size_t kMaxCommitRows = 80;
+
+/// Tasks whose progress one commit holds, at most; a single larger job goes
+/// alone. A table takes a megabyte in one transaction.
+inline constexpr std::size_t kMaxCommitTasks = 4000;
+
 /// Everything in one commit is durable before CommitDone.
 struct Commit {
   CommitNumber commit;
--- a/packages/jobs/src/dispatcher.cc
+++ b/packages/jobs/src/dispatcher.cc
@@ -9,11 +9,11 @@
 
 namespace {
 
-/// Jobs whose rows one commit deletes, at most.
+/// Jobs that one commit forgets, at most; their rows are deleted apart.
 constexpr std::size_t kForgottenPerCommit = 20;
 
-/// Jobs whose progress one commit writes, at most.
-constexpr std::size_t kJobsPerCommit = 30;
+/// Rows of one job in a commit: its progress and its status.
+constexpr std::size_t kRowsPerJob = 2;
 
 /// A leaving worker whose entry goes within this time of its last sign of life
 /// has ended; later, the entry may just have run out.
@@ -189,25 +189,41 @@
   }
 }
 
+std::size_t Dispatcher::Impl::CommitJobs(Commit& commit) {
+  std::size_t rows = 0;
+  std::size_t tasks = 0;
+  while (!dirty_.empty() && rows + kRowsPerJob <= kMaxCommitRows) {
+    JobState& job = jobs_.at(*dirty_.begin());
+    JobProgress progress = ProgressOf(job);
+    const bool fits = tasks + progress.tasks.size() <= kMaxCommitTasks;
+    if (!fits && !commit.progress.empty()) break;
+    dirty_.erase(dirty_.begin());
+    tasks += progress.tasks.size();
+    commit.progress.push_back(std::move(progress));
+    if (job.status_dirty) commit.statuses.push_back(StatusOf(job));
+    job.dirty = false;
+    job.status_dirty = false;
+    rows = commit.progress.size() + commit.statuses.size();
+  }
+  return rows;
+}
+
 void Dispatcher::Impl::SendCommit(const Now& now) {
   if (commit_in_flight_) return;
   Commit commit;
+  std::size_t rows = CommitJobs(commit);
   for (auto& [name, worker] : workers_) {
+    if (rows == kMaxCommitRows) break;
     if (HasDeparted(worker, now.steady)) {
       commit.departed.push_back(name);
       departing_.push_back(name);
+      ++rows;
     } else if (worker.listed && !worker.enrolled && !worker.leaving) {
       commit.enrolled.push_back({name, worker.entry.host, worker.entry.port});
       enrolling_.push_back(name);
+      ++rows;
     }
   }
-  while (!dirty_.empty() && commit.progress.size() < kJobsPerCommit) {
-    JobState& job = jobs_.at(dirty_.extract(dirty_.begin()).value());
-    commit.progress.push_back(ProgressOf(job));
-    if (job.status_dirty) commit.statuses.push_back(StatusOf(job));
-    job.dirty = false;
-    job.status_dirty = false;
-  }
   while (!to_forget_.empty() && commit.forgotten.size() < kForgottenPerCommit) {
     commit.forgotten.push_back(std::move(to_forget_.back()));
     to_forget_.pop_back();
--- a/packages/jobs/src/dispatcher_impl.h
+++ b/packages/jobs/src/dispatcher_impl.h
@@ -62,6 +62,8 @@
   void Take(OrderEnded ended, const Now& now);
   void Take(const CommitDone& done, const Now& now);
   void SendCommit(const Now& now);
+  /// @return rows that the commit holds then.
+  std::size_t CommitJobs(Commit& commit);
   void ForgetOldJobs(const Now& now);
 
   // orders.cc: orders to workers and what their answers mean.
--- a/packages/jobs/src/reclaim.cc
+++ b/packages/jobs/src/reclaim.cc
@@ -81,9 +81,8 @@
     if (spec.long_running) continue;
     // A stop writes a checkpoint, so that only the way back to it is lost.
     const Duration worked = now.steady - *hold.confirmed_at;
-    const Duration since = spec.checkpointing
-                               ? std::min(settings_.resume_delay, worked)
-                               : worked;
+    const Duration since =
+        spec.checkpointing ? std::min(settings_.resume_delay, worked) : worked;
     const double seconds =
         static_cast<double>(since.count()) / kMicrosecondsPerSecond;
     const double members = spec.gang ? spec.count : 1;
--- a/packages/jobs/src/starts.cc
+++ b/packages/jobs/src/starts.cc
@@ -126,7 +126,7 @@
     return candidate.worker->holds.empty();
   };
   const auto kept = static_cast<std::ptrdiff_t>(
-      std::ceil(kReservedShare * static_cast<double>(candidates.size())));
+      std::floor(kReservedShare * static_cast<double>(candidates.size())));
   std::ptrdiff_t spare =
       std::count_if(candidates.begin(), candidates.end(), empty) - kept;
   std::erase_if(candidates, [&](const Candidate& candidate) {
--- a/packages/jobserver/src/owner_writes.cc
+++ b/packages/jobserver/src/owner_writes.cc
@@ -24,6 +24,12 @@
 /// Nothing waits for the rows of forgotten jobs to go.
 constexpr Duration kForgetSpan = 10s;
 
+/// Forgotten jobs whose two rows in the cell's part one commit deletes. A table
+/// takes a hundred rows in one transaction: the others are the commit's own and
+/// the owner's, as a condition and as a write.
+constexpr std::size_t kForgettablePerCommit = 9;
+static_assert(jobs::kMaxCommitRows + 2 * kForgettablePerCommit + 2 <= 100);
+
 /// Replaced by the number of the write when it is sent.
 constexpr std::uint64_t kNoWrite = 0;
 
@@ -84,7 +90,10 @@
   for (const jobs::WorkerName& worker : commit.departed) {
     write.transaction.deletes.push_back(CellRow(kWorkerTable, worker.value));
   }
-  for (const jobs::JobId& job : std::exchange(forgettable_, {})) {
+  for (std::size_t i = 0; i < kForgettablePerCommit && !forgettable_.empty();
+       ++i) {
+    const jobs::JobId job = std::move(forgettable_.back());
+    forgettable_.pop_back();
     std::vector<site::RowKey>& deletes = write.transaction.deletes;
     deletes.push_back(CellRow(kProgressTable, job.value));
     deletes.push_back(CellRow(kStatusTable, job.value));
@@ -175,6 +184,17 @@
     }
     return;
   }
+  if (std::holds_alternative<site::Malformed>(outcome)) {
+    // Sending it again will not help: a later owner starts afresh.
+    log_.Log(Event::kCommitMalformed,
+             {{"write", in_flight_->row.write},
+              {"writes", in_flight_->transaction.writes.size()},
+              {"deletes", in_flight_->transaction.deletes.size()}});
+    ownership_.Lose(now);
+    StepDown();
+    in_flight_.reset();
+    return;
+  }
   const bool claim = in_flight_->kind == OwnerWrite::Kind::kClaim;
   const bool turned_away = std::holds_alternative<site::TurnedAway>(outcome);
   if (claim && turned_away) {
--- a/packages/telemetry/include/jasminespar/telemetry/events.h
+++ b/packages/telemetry/include/jasminespar/telemetry/events.h
@@ -75,6 +75,7 @@
   kJobDecision,
   kOwnerChanged,
   kCommitRepeated,
+  kCommitMalformed,
 };
 
 /// One row of the table of events. A number is never used again for another
@@ -87,7 +88,7 @@
   std::string_view help;
 };
 
-inline constexpr std::array<EventRow, 39> kEvents{{
+inline constexpr std::array<EventRow, 40> kEvents{{
     {Event::kStarted, 1001, "started", Severity::kInfo,
      "The instance has started and serves."},
     {Event::kStopping, 1002, "stopping", Severity::kInfo,
@@ -168,9 +169,11 @@
      "The row of the cell names another owner or epoch."},
     {Event::kCommitRepeated, 8007, "commit_repeated", Severity::kWarning,
      "The outcome of an owner's write is not known yet; it is sent again."},
+    {Event::kCommitMalformed, 8008, "commit_malformed", Severity::kError,
+     "The table cannot take an owner's write; the owner steps down."},
 }};
 static_assert(IsDense(kEvents));
-static_assert(static_cast<std::size_t>(Event::kCommitRepeated) + 1 ==
+static_assert(static_cast<std::size_t>(Event::kCommitMalformed) + 1 ==
               kEvents.size());
 
 /// One key=value of an event. Refers to the text it was made from.
--- /dev/null
+++ b/tests/jobs/commits_test.cc
@@ -0,0 +1,73 @@
+// What one commit may hold: the table takes no larger transaction.
+#include <catch2/catch.hpp>
+#include <string>
+
+#include "dispatcher_fixture.h"
+
+namespace jasminespar::jobs {
+namespace {
+
+/// A name of two digits or more, in order.
+std::string Numbered(const char* prefix, int number) {
+  return prefix + std::to_string(1000 + number);
+}
+
+TEST_CASE("a commit holds no more rows than a transaction may") {
+  // Found on a grown deployment: 46 workers had left while many jobs ended;
+  // the table refused the commit, and the owner sent it again for 4 s.
+  constexpr int kWorkers = 250;
+  constexpr int kJobs = 120;
+  DispatcherFixture fixture;
+  for (int i = 0; i < kWorkers; ++i) {
+    fixture.AddWorker(Numbered("w", i), "r1", Enrolment::kOpen);
+  }
+  fixture.FinishLoading();
+  fixture.Advance(2s);
+  CHECK(fixture.enrolled.size() == kWorkers);
+  for (int i = 0; i < kWorkers; ++i) {
+    WorkerEntry leaving;
+    leaving.name.value = Numbered("w", i);
+    leaving.leaving = true;
+    fixture.Feed(WorkerListed{leaving});
+    fixture.mute[leaving.name.value] = true;
+  }
+  for (int i = 0; i < kJobs; ++i) {
+    fixture.Feed(
+        JobFound{DispatcherFixture::Job(Numbered("job", i), "batch",
+                                        {DispatcherFixture::Step(1, 1)}),
+                 {}});
+    fixture.Feed(JobCancelled{{Numbered("job", i)}});
+  }
+  for (int i = 0; i < kWorkers; ++i) {
+    fixture.Feed(WorkerUnlisted{{Numbered("w", i)}});
+  }
+  fixture.Advance(3s);
+  CHECK(fixture.departed.size() == kWorkers);
+  CHECK(fixture.progress.size() == kJobs);
+  CHECK(fixture.largest_commit <= kMaxCommitRows);
+}
+
+TEST_CASE("jobs of many tasks are spread over commits") {
+  constexpr int kJobs = 40;
+  constexpr std::uint32_t kTasks = 600;
+  DispatcherFixture fixture;
+  fixture.FinishLoading();
+  for (int i = 0; i < kJobs; ++i) {
+    JobFound found{DispatcherFixture::Job(Numbered("job", i), "batch",
+                                          {DispatcherFixture::Step(kTasks, 1)}),
+                   {}};
+    for (std::uint32_t task = 0; task < kTasks; ++task) {
+      found.progress.tasks.push_back({0, 0, task, true, {}, ""});
+    }
+    found.progress.tasks.back().done = false;
+    found.progress.tasks.back().checkpoint = "saved";
+    fixture.Feed(std::move(found));
+    fixture.Feed(JobCancelled{{Numbered("job", i)}});
+  }
+  fixture.Advance(3s);
+  CHECK(fixture.progress.size() == kJobs);
+  CHECK(fixture.most_tasks_in_commit <= kMaxCommitTasks);
+}
+
+}  // namespace
+}  // namespace jasminespar::jobs
--- a/tests/jobs/dispatcher_fixture.h
+++ b/tests/jobs/dispatcher_fixture.h
@@ -16,6 +16,9 @@
 
 namespace jasminespar::jobs {
 
+/// Whether a worker's name is durable before the owner lists it.
+enum class Enrolment : std::uint8_t { kDurable, kOpen };
+
 /// Commits and looks are answered at once; starts and stops wait for the test.
 class DispatcherFixture {
  public:
@@ -60,7 +63,8 @@
   }
 
   /// A worker of 8 accelerators that has a durable name.
-  void AddWorker(const std::string& name, const std::string& rack = "r1") {
+  void AddWorker(const std::string& name, const std::string& rack = "r1",
+                 Enrolment enrolment = Enrolment::kDurable) {
     WorkerEntry entry;
     entry.name.value = name;
     entry.service.value = "matching";
@@ -68,7 +72,9 @@
     entry.port = 1;
     entry.capacity = {32'000, 128'000, 8};
     entry.rack = rack;
-    Feed(WorkerEnrolled{entry.name, entry.host, entry.port});
+    if (enrolment == Enrolment::kDurable) {
+      Feed(WorkerEnrolled{entry.name, entry.host, entry.port});
+    }
     Feed(WorkerListed{entry});
     reports[name];
   }
@@ -132,6 +138,9 @@
   std::vector<JobStatus> statuses;
   std::map<JobId, JobProgress> progress;
   std::vector<WorkerName> departed;
+  std::vector<WorkerEnrolled> enrolled;
+  std::size_t largest_commit = 0;        ///< In rows.
+  std::size_t most_tasks_in_commit = 0;  ///< Whose progress it holds.
   bool answer_commits = true;
   std::uint64_t acknowledged = 0;  ///< Highest end that a look acknowledged.
 
@@ -175,7 +184,17 @@
   }
 
   void TakeCommit(Commit commit) {
-    for (const JobProgress& each : commit.progress) progress[each.job] = each;
+    std::size_t tasks = 0;
+    for (const JobProgress& each : commit.progress) {
+      progress[each.job] = each;
+      tasks += each.tasks.size();
+    }
+    most_tasks_in_commit = std::max(most_tasks_in_commit, tasks);
+    largest_commit = std::max(
+        largest_commit, commit.progress.size() + commit.statuses.size() +
+                            commit.enrolled.size() + commit.departed.size());
+    enrolled.insert(enrolled.end(), commit.enrolled.begin(),
+                    commit.enrolled.end());
     statuses.insert(statuses.end(), commit.statuses.begin(),
                     commit.statuses.end());
     departed.insert(departed.end(), commit.departed.begin(),
