--- a/packages/jobserver/include/jasminespar/jobserver/store_link.h
+++ b/packages/jobserver/include/jasminespar/jobserver/store_link.h
@@ -54,7 +54,7 @@
   struct Follow {
     std::string table;
     std::vector<std::string> parts;
-    Duration pace{};  ///< Between two answers.
+    std::function<Duration()> pace;  ///< Between two answers.
     Duration wait = kWatchWait;
     /// Called for each row that was read or has changed.
     std::function<void(const site::Row&)> on_row;
@@ -109,6 +109,7 @@
   std::optional<Epoch> owned_;  ///< Epoch under which this instance owns.
   std::uint64_t configuration_version_ = 0;
   std::set<std::string> listed_workers_;
+  std::set<std::string> members_;    ///< Instances that the table lists.
   std::set<std::string> cancelled_;  ///< Jobs with a cancellation row.
   std::map<std::string, jobs::JobProgress> loaded_progress_;
   bool workers_loaded_ = false;
--- a/packages/jobserver/src/store_watches.cc
+++ b/packages/jobserver/src/store_watches.cc
@@ -35,6 +35,10 @@
 /// The shortest wait of all watches: it also shows first that a way is cut.
 constexpr Duration kConfigurationWait = 500ms;
 constexpr Duration kStatusPace = 60ms;
+
+/// All instances follow the statuses, which change all the time: the more
+/// there are, the longer each waits between two readings.
+constexpr Duration kStatusPacePerMember = 3ms;
 constexpr Duration kOwnerPace = 500ms;
 constexpr Duration kJobPace = 5ms;
 constexpr Duration kWorkerPace = 400ms;
@@ -126,7 +130,7 @@
       if (followed) follow.on_row(row);
     }
     if (!page->rows.empty()) {
-      co_await runtime::Sleep(duty_.context(), follow.pace);
+      co_await runtime::Sleep(duty_.context(), follow.pace());
     }
   }
 }
@@ -135,7 +139,7 @@
   Follow follow;
   follow.table = std::string(codec_.operators.configuration_table);
   follow.parts = {codec_.operators.configuration_row.part};
-  follow.pace = kConfigurationPace;
+  follow.pace = [] { return kConfigurationPace; };
   follow.wait = kConfigurationWait;
   follow.on_row = [this](const site::Row& row) { TakeConfiguration(row); };
   follow.wanted = [] { return true; };
@@ -148,7 +152,10 @@
   follow.table = std::string(kStatusTable);
   follow.parts = JobParts();
   follow.parts.emplace_back(kCellPart);
-  follow.pace = kStatusPace;
+  follow.pace = [this] {
+    const auto members = static_cast<Duration::rep>(members_.size());
+    return std::max(kStatusPace, kStatusPacePerMember * members);
+  };
   follow.on_row = [this](const site::Row& row) { TakeStatus(row); };
   follow.on_whole = [this](const std::set<std::string>&) {
     rings_.front.Send(StatusesLoaded{});
@@ -162,7 +169,7 @@
   Follow follow;
   follow.table = std::string(kOwnerTable);
   follow.parts = {std::string(kCellPart)};
-  follow.pace = kOwnerPace;
+  follow.pace = [] { return kOwnerPace; };
   follow.on_row = [this](const site::Row& row) { TakeOwner(row); };
   follow.on_whole = [this](const std::set<std::string>& keys) {
     if (keys.empty()) rings_.dispatch.Send(OwnerAbsent{});
@@ -176,7 +183,7 @@
   Follow follow;
   follow.table = std::string(kMemberTable);
   follow.parts = {std::string(kCellPart)};
-  follow.pace = kMemberPace;
+  follow.pace = [] { return kMemberPace; };
   follow.wait = kMemberWait;
   follow.on_row = [this](const site::Row& row) { TakeMember(row); };
   follow.wanted = [] { return true; };
@@ -225,7 +232,7 @@
   Follow follow;
   follow.table = std::string(codec_.operators.worker_table);
   follow.parts = {std::string(codec_.operators.worker_part)};
-  follow.pace = kWorkerPace;
+  follow.pace = [] { return kWorkerPace; };
   follow.on_row = [this, epoch](const site::Row& row) {
     TakeWorker(row, epoch);
   };
@@ -247,7 +254,7 @@
   Follow follow;
   follow.table = std::string(kJobTable);
   follow.parts = JobParts();
-  follow.pace = kJobPace;
+  follow.pace = [] { return kJobPace; };
   follow.on_row = [this, epoch](const site::Row& row) { TakeJob(row, epoch); };
   follow.on_whole = [this, epoch](const std::set<std::string>&) {
     if (std::exchange(jobs_loaded_, true)) return;
@@ -321,9 +328,13 @@
 }
 
 void StoreLink::TakeMember(const site::Row& row) {
-  if (row.deleted) return;
+  if (row.deleted) {
+    members_.erase(row.key.key);
+    return;
+  }
   try {
     protocol::MemberRow member = protocol::DecodeMemberRow(row.value);
+    members_.insert(row.key.key);
     rings_.peers.Send(
         MemberSeen{std::move(member.instance), std::move(member.address)});
   } catch (const Error& error) {
--- a/packages/site/include/jasminespar/site/table_client.h
+++ b/packages/site/include/jasminespar/site/table_client.h
@@ -25,7 +25,7 @@
   Duration read_timeout = 700ms;
   /// Of one transaction: a slow table lets transactions of one part wait for
   /// each other up to a second. Sent again too soon, they only make it longer.
-  Duration write_timeout = 1300ms;
+  Duration write_timeout = 1000ms;
   Duration retry_pause = 60ms;
   std::size_t max_connections = 12;
 };
