Never say "not run" of a submission that another attempt may have stored

Cause: an instance without a way to the table refused with 503 what it had not sent itself, also when the caller's first attempt, here or at another instance, had ended unknown and its write could still be carried out. Ruled out: answering 504 to everything while the table is away (callers of non-idempotent work do not ask again after it, so work that surely did not run would be lost); a mark in the table (it is away). Change: an instance keeps the submissions it gave up without an outcome for as long as a late write may come (12 s), and tells its peers with its beats (at most 24, the newest). Who is asked again for one of them answers unknown until the outcome is seen. Submit and Cancel share one Write and one mapping of outcomes to reasons. What stays: an instance that dies with its write on the way, before its beat, tells nobody; a peer cut off from it does not hear.

--- a/packages/jobs/include/jasminespar/jobs/dispatcher.h
+++ b/packages/jobs/include/jasminespar/jobs/dispatcher.h
@@ -13,8 +13,8 @@
 
 /// Bounds that the site promises about its workers, and the owner's patience.
 struct DispatcherSettings {
-  Duration max_lease = 10s;           ///< Longest lease that a worker grants.
-  Duration status_retention = 120s;   ///< A final job is shown this long.
+  Duration max_lease = 10s;          ///< Longest lease that a worker grants.
+  Duration status_retention = 120s;  ///< A final job is shown this long.
   /// Until a task that was stopped with a checkpoint works again.
   Duration resume_delay = 250ms;
   Duration stop_limit = 900ms;       ///< A stopped run is over by then.
--- /dev/null
+++ b/packages/jobs/src/unsettled_submissions.cc
@@ -0,0 +1,56 @@
+#include "jasminespar/jobs/unsettled_submissions.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace jasminespar::jobs {
+
+void UnsettledSubmissions::Add(const JobId& job, TimePoint now) {
+  own_[job] = now;
+}
+
+bool UnsettledSubmissions::Settle(const JobId& job) {
+  return own_.erase(job) > 0;
+}
+
+std::vector<JobId> UnsettledSubmissions::Own(TimePoint now) {
+  std::erase_if(own_, [&](const auto& entry) {
+    return now - entry.second >= kLateWriteSpan;
+  });
+  std::vector<std::pair<TimePoint, JobId>> newest;
+  newest.reserve(own_.size());
+  for (const auto& [job, given_up_at] : own_) {
+    newest.emplace_back(given_up_at, job);
+  }
+  std::sort(newest.rbegin(), newest.rend());
+  if (newest.size() > kMaxTold) newest.resize(kMaxTold);
+  std::vector<JobId> jobs;
+  jobs.reserve(newest.size());
+  for (auto& [given_up_at, job] : newest) jobs.push_back(std::move(job));
+  return jobs;
+}
+
+void UnsettledSubmissions::Hear(const InstanceId& peer,
+                                const std::vector<JobId>& jobs, TimePoint now) {
+  for (auto& [job, heard_at] : peers_) {
+    std::erase_if(heard_at, [&](const auto& heard) {
+      return heard.first == peer || now - heard.second >= kLateWriteSpan;
+    });
+  }
+  std::erase_if(peers_, [](const auto& entry) { return entry.second.empty(); });
+  for (const JobId& job : jobs) peers_[job][peer] = now;
+}
+
+bool UnsettledSubmissions::MayBeStored(const JobId& job, TimePoint now) const {
+  const auto fresh = [&](TimePoint since) {
+    return now - since < kLateWriteSpan;
+  };
+  const auto own = own_.find(job);
+  if (own != own_.end() && fresh(own->second)) return true;
+  const auto peers = peers_.find(job);
+  return peers != peers_.end() &&
+         std::any_of(peers->second.begin(), peers->second.end(),
+                     [&](const auto& heard) { return fresh(heard.second); });
+}
+
+}  // namespace jasminespar::jobs
--- a/packages/jobserver/include/jasminespar/jobserver/job_front.h
+++ b/packages/jobserver/include/jasminespar/jobserver/job_front.h
@@ -7,12 +7,14 @@
 #include <atomic>
 #include <boost/asio/awaitable.hpp>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <unordered_map>
 
 #include "jasminespar/configuration/topology.h"
 #include "jasminespar/http/server.h"
+#include "jasminespar/jobs/unsettled_submissions.h"
 #include "jasminespar/jobserver/event_log.h"
 #include "jasminespar/jobserver/messages.h"
 #include "jasminespar/runtime/duty.h"
@@ -33,6 +35,7 @@
  public:
   struct Rings {
     runtime::Channel<FrontToStore>& store;
+    runtime::Channel<ToPeers>& peers;
     runtime::Channel<ToTelemetry>& telemetry;
   };
 
@@ -70,6 +73,7 @@
   void On(WriteEnded& ended);
   void On(ReadEnded& ended);
   void On(const TableUsable& table);
+  void On(const UnsettledAtPeer& unsettled);
   void On(const DrainFront&);
 
   Answer Serve(http::Request request);
@@ -79,6 +83,12 @@
   Answer Cancel(Call call, jobs::JobId id);
   [[nodiscard]] http::Response CountPending(const Call& call);
 
+  using WriteOutcome = std::optional<site::TableOutcome>;
+  /// @return nothing when the store link does not answer in time.
+  boost::asio::awaitable<WriteOutcome> Write(site::Transaction transaction,
+                                             TimePoint deadline);
+  void TellUnsettled();
+
   /// Fills what the table holds of a job that the watch has not shown.
   /// @return nothing when the table could not be read in time.
   boost::asio::awaitable<std::optional<bool>> FindStatus(jobs::JobId id,
@@ -101,6 +111,7 @@
   std::shared_ptr<const jobs::SiteConfiguration> configuration_;
   std::unordered_map<jobs::JobId, jobs::JobStatus> statuses_;
   std::set<jobs::JobId> cancelled_;
+  jobs::UnsettledSubmissions unsettled_;
   runtime::ReplyTable<site::TableOutcome> writes_;
   runtime::ReplyTable<site::TableOutcome> reads_;
   bool statuses_loaded_ = false;
--- a/packages/jobserver/include/jasminespar/jobserver/messages.h
+++ b/packages/jobserver/include/jasminespar/jobserver/messages.h
@@ -47,12 +47,19 @@
   bool usable = false;
 };
 
+/// Submissions that a peer gave up without a known outcome.
+struct UnsettledAtPeer {
+  InstanceId peer;
+  std::vector<jobs::JobId> jobs;
+};
+
 /// The instance is asked to leave: answer what comes, and be not ready.
 struct DrainFront {};
 
-using ToFront = std::variant<ConfigurationSeen, StatusSeen, StatusForgotten,
-                             CancellationSeen, StatusesLoaded, WriteEnded,
-                             ReadEnded, TableUsable, DrainFront>;
+using ToFront =
+    std::variant<ConfigurationSeen, StatusSeen, StatusForgotten,
+                 CancellationSeen, StatusesLoaded, WriteEnded, ReadEnded,
+                 TableUsable, UnsettledAtPeer, DrainFront>;
 
 // ---- To the dispatcher ----
 
@@ -141,7 +148,7 @@
 using DispatchToStore = std::variant<WriteRows, BeginOwning, EndOwning>;
 using PeersToStore = std::variant<ServeRelay, RelayEnded, RelayAvailable>;
 
-// ---- To the peer link, from the store link ----
+// ---- To the peer link, from the store link and the front ----
 
 struct MemberSeen {
   InstanceId instance;
@@ -160,8 +167,12 @@
   std::uint64_t number = 0;
   site::TableOutcome outcome;
 };
-using ToPeers =
-    std::variant<MemberSeen, TableReached, RelayWanted, RelayServed>;
+/// Submissions that this instance gave up without a known outcome, all of them.
+struct UnsettledHere {
+  std::vector<jobs::JobId> jobs;
+};
+using ToPeers = std::variant<MemberSeen, TableReached, RelayWanted, RelayServed,
+                             UnsettledHere>;
 
 // ---- To the worker link ----
 
--- a/packages/jobserver/include/jasminespar/jobserver/peer_link.h
+++ b/packages/jobserver/include/jasminespar/jobserver/peer_link.h
@@ -14,6 +14,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "jasminespar/configuration/topology.h"
 #include "jasminespar/jobserver/event_log.h"
@@ -31,6 +32,7 @@
   struct Rings {
     runtime::Channel<PeersToStore>& store;
     runtime::Channel<ToDispatch>& dispatch;
+    runtime::Channel<ToFront>& front;
     runtime::Channel<ToTelemetry>& telemetry;
   };
 
@@ -51,6 +53,7 @@
     TimePoint last_heard;
     bool heard = false;
     bool table_reached = false;
+    bool has_unsettled = false;        ///< As it last said.
     Connection connection;             ///< Over which this instance asks.
     std::set<std::uint64_t> awaiting;  ///< Asks without a reply.
   };
@@ -59,6 +62,7 @@
   void On(const TableReached& reached);
   void On(RelayWanted& wanted);
   void On(RelayServed& served);
+  void On(UnsettledHere& unsettled);
 
   void ScheduleBeat();
   void Beat();
@@ -70,6 +74,7 @@
   [[nodiscard]] Peer* ChooseRelay();
   [[nodiscard]] bool IsRelay(const Peer& peer, TimePoint now) const;
   void TellAvailability();
+  void TellUnsettled(Peer& peer, protocol::PeerBeat& beat);
   [[nodiscard]] Connection MakeConnection(
       std::function<bool(std::uint64_t, std::string)> on_frame,
       std::function<void(std::uint64_t)> on_closed);
@@ -91,6 +96,8 @@
   std::map<std::uint64_t, Connection> inbound_;
   std::uint64_t last_connection_ = 0;
   InstanceId last_relay_;
+  std::vector<jobs::JobId> unsettled_;  ///< What peers are told of.
+  TimePoint unsettled_at_;
   bool table_reached_ = false;
   bool relay_available_ = false;
   boost::asio::ip::udp::endpoint sender_;
--- a/packages/jobserver/src/job_front.cc
+++ b/packages/jobserver/src/job_front.cc
@@ -48,6 +48,18 @@
   return response;
 }
 
+/// @return why a write was not carried out, or that it may have been.
+Reason ReasonOf(const std::optional<site::TableOutcome>& outcome) {
+  if (!outcome) return Reason::kOutcomeUnknown;
+  if (std::holds_alternative<site::TurnedAway>(*outcome)) {
+    return Reason::kStoreUnavailable;
+  }
+  if (std::holds_alternative<site::Malformed>(*outcome)) {
+    return Reason::kMalformedRequest;
+  }
+  return Reason::kOutcomeUnknown;
+}
+
 http::Response RejectUnread(Reason reason) {
   http::Response response;
   response.status = HttpStatusOf(reason);
@@ -98,6 +110,7 @@
 }
 
 void JobFront::On(const StatusSeen& seen) {
+  if (unsettled_.Settle(seen.status.job)) TellUnsettled();
   jobs::JobStatus& known = statuses_[seen.status.job];
   // Phases only rise; rows of two parts may be read in any order.
   if (known.phase <= seen.status.phase) known = seen.status;
@@ -126,6 +139,14 @@
   server_.CloseAfterAnswers(!table_usable_ || draining_);
 }
 
+void JobFront::On(const UnsettledAtPeer& unsettled) {
+  unsettled_.Hear(unsettled.peer, unsettled.jobs, runtime::SteadyNow());
+}
+
+void JobFront::TellUnsettled() {
+  rings_.peers.Send(UnsettledHere{unsettled_.Own(runtime::SteadyNow())});
+}
+
 void JobFront::On(const DrainFront&) {
   draining_ = true;
   server_.CloseAfterAnswers(true);
@@ -200,24 +221,20 @@
       std::move(std::get<jobs::JobSpec>(decoded))};
   const jobs::JobStatus status{id, job.queue, jobs::JobPhase::kQueued,
                                job.accepted_at, job.spec.occurrences > 0};
-  WriteRows write;
+  site::Transaction transaction;
   const site::RowKey job_key = JobRow(kJobTable, id);
-  write.transaction.conditions.push_back({job_key, {}});
-  write.transaction.writes.push_back({job_key, protocol::Encode(job), {}});
-  write.transaction.writes.push_back(
+  transaction.conditions.push_back({job_key, {}});
+  transaction.writes.push_back({job_key, protocol::Encode(job), {}});
+  transaction.writes.push_back(
       {JobRow(kStatusTable, id), protocol::Encode(status), {}});
-  write.span = std::min(kMaxWriteSpan, call.deadline - runtime::SteadyNow());
-  write.turned_away_span = kTurnedAwaySpan;
-  write.number = writes_.Open();
-  const std::uint64_t number = write.number;
-  const Duration span = write.span + kReplyMargin;
-  rings_.store.Send(std::move(write));
-  const std::optional<site::TableOutcome> outcome =
-      co_await writes_.Wait(number, span);
+  const WriteOutcome outcome =
+      co_await Write(std::move(transaction), call.deadline);
+  // A conflict: an attempt before this one stored the job.
   const bool stored =
       outcome && (std::holds_alternative<site::Committed>(*outcome) ||
                   std::holds_alternative<site::Conflict>(*outcome));
   if (stored) {
+    if (unsettled_.Settle(id)) TellUnsettled();
     statuses_.try_emplace(id, status);
     const Duration took = runtime::SteadyNow() - call.arrived;
     metrics_.Count(Counter::kCallsAccepted);
@@ -229,14 +246,29 @@
                                    {"took_ms", ToMilliseconds(took)}});
     co_return JsonResponse(codec_.caller.encode_phase(PhaseOf(id)));
   }
-  if (outcome && std::holds_alternative<site::TurnedAway>(*outcome)) {
-    co_return Refuse(Reason::kStoreUnavailable, id, "not stored", call.arrived);
-  }
-  if (outcome && std::holds_alternative<site::Malformed>(*outcome)) {
-    co_return Refuse(Reason::kMalformedRequest, id, "refused by the table",
-                     call.arrived);
+  const TimePoint now = runtime::SteadyNow();
+  const bool tried_before = unsettled_.MayBeStored(id, now);
+  const Reason reason =
+      tried_before ? Reason::kOutcomeUnknown : ReasonOf(outcome);
+  if (reason == Reason::kOutcomeUnknown && !tried_before) {
+    unsettled_.Add(id, now);
+    TellUnsettled();
   }
-  co_return Refuse(Reason::kOutcomeUnknown, id, "may be stored", call.arrived);
+  co_return Refuse(reason, id, tried_before ? "tried before" : "submit",
+                   call.arrived);
+}
+
+asio::awaitable<JobFront::WriteOutcome> JobFront::Write(
+    site::Transaction transaction, TimePoint deadline) {
+  WriteRows write;
+  write.transaction = std::move(transaction);
+  write.span = std::min(kMaxWriteSpan, deadline - runtime::SteadyNow());
+  write.turned_away_span = kTurnedAwaySpan;
+  write.number = writes_.Open();
+  const std::uint64_t number = write.number;
+  const Duration span = write.span + kReplyMargin;
+  rings_.store.Send(std::move(write));
+  co_return co_await writes_.Wait(number, span);
 }
 
 asio::awaitable<std::optional<bool>> JobFront::FindStatus(jobs::JobId id,
@@ -288,16 +320,10 @@
                      call.arrived);
   }
   if (jobs::IsFinal(PhaseOf(id))) co_return http::Response{};
-  WriteRows write;
-  write.transaction.writes.push_back({CancellationKey(id), "", {}});
-  write.span = std::min(kMaxWriteSpan, call.deadline - runtime::SteadyNow());
-  write.turned_away_span = kTurnedAwaySpan;
-  write.number = writes_.Open();
-  const std::uint64_t number = write.number;
-  const Duration span = write.span + kReplyMargin;
-  rings_.store.Send(std::move(write));
-  const std::optional<site::TableOutcome> outcome =
-      co_await writes_.Wait(number, span);
+  site::Transaction transaction;
+  transaction.writes.push_back({CancellationKey(id), "", {}});
+  const WriteOutcome outcome =
+      co_await Write(std::move(transaction), call.deadline);
   if (outcome && std::holds_alternative<site::Committed>(*outcome)) {
     cancelled_.insert(id);
     metrics_.Count(Counter::kCallsCancelled);
@@ -307,12 +333,7 @@
          {"took_ms", ToMilliseconds(runtime::SteadyNow() - call.arrived)}});
     co_return JsonResponse(codec_.caller.encode_phase(PhaseOf(id)));
   }
-  if (outcome && std::holds_alternative<site::TurnedAway>(*outcome)) {
-    co_return Refuse(Reason::kStoreUnavailable, id, "not cancelled",
-                     call.arrived);
-  }
-  co_return Refuse(Reason::kOutcomeUnknown, id, "may be cancelled",
-                   call.arrived);
+  co_return Refuse(ReasonOf(outcome), id, "cancel", call.arrived);
 }
 
 http::Response JobFront::CountPending(const Call& call) {
--- a/packages/jobserver/src/job_server.cc
+++ b/packages/jobserver/src/job_server.cc
@@ -89,7 +89,9 @@
         rings_(settings.ring_capacity),
         log_(rings_.main_to_telemetry),
         front_(front_duty_, ToFrontSettings(settings), codec,
-               {rings_.front_to_store, rings_.front_to_telemetry}, metrics_),
+               {rings_.front_to_store, rings_.front_to_peers,
+                rings_.front_to_telemetry},
+               metrics_),
         store_(store_duty_, ToTableSettings(settings),
                {settings.instance, settings.peers}, codec,
                {rings_.store_to_front, rings_.store_to_dispatch,
@@ -104,7 +106,7 @@
                  metrics_),
         peers_(peer_duty_, settings.instance, settings.peers,
                {rings_.peers_to_store, rings_.peers_to_dispatch,
-                rings_.peers_to_telemetry},
+                rings_.peers_to_front, rings_.peers_to_telemetry},
                metrics_),
         telemetry_(telemetry_duty_, settings.metrics, metrics_) {
     JoinRings();
@@ -134,6 +136,7 @@
   struct Rings {
     explicit Rings(std::size_t capacity)
         : front_to_store(capacity),
+          front_to_peers(capacity),
           front_to_telemetry(capacity),
           store_to_front(capacity),
           store_to_dispatch(capacity),
@@ -141,6 +144,7 @@
           store_to_telemetry(capacity),
           peers_to_store(capacity),
           peers_to_dispatch(capacity),
+          peers_to_front(capacity),
           peers_to_telemetry(capacity),
           dispatch_to_store(capacity),
           dispatch_to_workers(capacity),
@@ -150,6 +154,7 @@
           main_to_dispatch(capacity),
           main_to_telemetry(capacity) {}
     Channel<FrontToStore> front_to_store;
+    Channel<ToPeers> front_to_peers;
     Channel<ToTelemetry> front_to_telemetry;
     Channel<ToFront> store_to_front;
     Channel<ToDispatch> store_to_dispatch;
@@ -157,6 +162,7 @@
     Channel<ToTelemetry> store_to_telemetry;
     Channel<PeersToStore> peers_to_store;
     Channel<ToDispatch> peers_to_dispatch;
+    Channel<ToFront> peers_to_front;
     Channel<ToTelemetry> peers_to_telemetry;
     Channel<DispatchToStore> dispatch_to_store;
     Channel<ToWorkers> dispatch_to_workers;
@@ -190,6 +196,8 @@
                     store_.HandlePeers(std::move(message));
                   });
     Join(rings_.store_to_peers, store_duty_, peer_duty_, peers_);
+    Join(rings_.front_to_peers, front_duty_, peer_duty_, peers_);
+    Join(rings_.peers_to_front, peer_duty_, front_duty_, front_);
     Join(rings_.peers_to_dispatch, peer_duty_, dispatch_duty_, dispatch_);
     Join(rings_.peers_to_telemetry, peer_duty_, telemetry_duty_, telemetry_);
     Join(rings_.front_to_telemetry, front_duty_, telemetry_duty_, telemetry_);
--- a/packages/jobserver/src/peer_link.cc
+++ b/packages/jobserver/src/peer_link.cc
@@ -9,6 +9,7 @@
 
 #include "jasminespar/core/error.h"
 #include "jasminespar/core/overloaded.h"
+#include "jasminespar/jobs/unsettled_submissions.h"
 #include "jasminespar/runtime/clock.h"
 #include "jasminespar/runtime/sleep.h"
 
@@ -93,6 +94,11 @@
   if (!found->second->Send(protocol::Encode(reply))) found->second->Close();
 }
 
+void PeerLink::On(UnsettledHere& unsettled) {
+  unsettled_ = std::move(unsettled.jobs);
+  unsettled_at_ = runtime::SteadyNow();
+}
+
 void PeerLink::ScheduleBeat() {
   beat_timer_.expires_after(kBeatInterval);
   beat_timer_.async_wait([this](const boost::system::error_code& error) {
@@ -103,8 +109,10 @@
 }
 
 void PeerLink::Beat() {
-  const std::string datagram =
-      protocol::Encode(protocol::PeerBeat{self_, address_, table_reached_});
+  const Duration told = runtime::SteadyNow() - unsettled_at_;
+  if (told >= jobs::UnsettledSubmissions::kLateWriteSpan) unsettled_.clear();
+  const std::string datagram = protocol::Encode(
+      protocol::PeerBeat{self_, address_, table_reached_, unsettled_});
   for (const auto& [instance, peer] : peers_) Send(peer.address, datagram);
   TellAvailability();
 }
@@ -150,10 +158,18 @@
   peer.heard = true;
   peer.last_heard = now;
   peer.table_reached = beat.table_reached;
+  TellUnsettled(peer, beat);
   rings_.dispatch.Send(PeerHeard{beat.instance});
   TellAvailability();
 }
 
+void PeerLink::TellUnsettled(Peer& peer, protocol::PeerBeat& beat) {
+  const bool has_unsettled = !beat.unsettled.empty();
+  const bool had_unsettled = std::exchange(peer.has_unsettled, has_unsettled);
+  if (!has_unsettled && !had_unsettled) return;
+  rings_.front.Send(UnsettledAtPeer{beat.instance, std::move(beat.unsettled)});
+}
+
 asio::awaitable<void> PeerLink::Accept() {
   while (acceptor_.is_open()) {
     boost::system::error_code error;
--- a/packages/protocol/include/jasminespar/protocol/relay_message.h
+++ b/packages/protocol/include/jasminespar/protocol/relay_message.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <string_view>
 #include <variant>
+#include <vector>
 
 #include "jasminespar/configuration/topology.h"
 #include "jasminespar/core/ids.h"
@@ -21,6 +22,8 @@
   InstanceId instance;
   configuration::Address address;  ///< Where the sender hears its peers.
   bool table_reached = false;      ///< The table serves the sender.
+  /// Submissions whose write at the sender may still be carried out.
+  std::vector<jobs::JobId> unsettled;
 };
 
 /// The row by which instances find each other.
--- a/packages/protocol/src/relay_message.cc
+++ b/packages/protocol/src/relay_message.cc
@@ -61,7 +61,7 @@
 
 template <typename Archive>
 void serialize(Archive& archive, PeerBeat& beat) {
-  archive(beat.instance, beat.address, beat.table_reached);
+  archive(beat.instance, beat.address, beat.table_reached, beat.unsettled);
 }
 template <typename Archive>
 void serialize(Archive& archive, MemberRow& row) {
