Look at a worker as soon as a start is confirmed

Cause: an idle worker is looked at every 2 s, and a start did not move its next look. What ended within that time was seen up to 2 s late: short urgent work was shown as completed late, and room that a reclaim waited for stayed taken. Ruled out: a slow stop (the worker listed the end within stop_limit); late orders (that trouble was over). Change: a confirmed start moves the next look to now. The test failed before (7 of 8 idle times).

--- a/packages/jobs/src/orders.cc
+++ b/packages/jobs/src/orders.cc
@@ -75,6 +75,8 @@
   if (hold.phase != HoldPhase::kStarting) return;
   hold.in_flight = false;
   hold.phase = HoldPhase::kRunning;
+  // The look that waits for its end; an idle worker's next one may be far off.
+  worker.next_look = std::min(worker.next_look, now.steady);
   JobState* job = FindJob(order.task.job);
   if (job == nullptr || job->phase != JobPhase::kQueued) return;
   job->phase = JobPhase::kRunning;
--- a/tests/jobs/runs_test.cc
+++ b/tests/jobs/runs_test.cc
@@ -91,6 +91,28 @@
   CHECK(fixture.statuses.back().phase == JobPhase::kCancelled);
 }
 
+TEST_CASE("a run on a worker that was idle is seen to end at once") {
+  // Found by a hunt: an idle worker is looked at every 2 s, and a start did not
+  // change that, so that the room of a run that had ended stayed taken.
+  const Duration idle =
+      2s + GENERATE(0, 250, 500, 750, 1000, 1250, 1500, 1750) * 1ms;
+  DispatcherFixture fixture;
+  Loaded(fixture, 1);
+  fixture.Advance(idle);
+  fixture.Feed(JobFound{DispatcherFixture::Job(kJob.value, "batch",
+                                               {DispatcherFixture::Step(1, 8)}),
+                        {}});
+  fixture.Advance(50ms);
+  REQUIRE(fixture.starts.size() == 1);
+  const SendOrder start = fixture.starts.front();
+  fixture.AcceptStarts();
+  fixture.End(start.worker.value, {kJob, 0, 0, 0},
+              std::get<StartRun>(start.what).run, RunEnding::kDone);
+  fixture.Advance(150ms);
+  REQUIRE_FALSE(fixture.statuses.empty());
+  CHECK(fixture.statuses.back().phase == JobPhase::kCompleted);
+}
+
 TEST_CASE("a leaving worker gets nothing new") {
   DispatcherFixture fixture;
   Loaded(fixture, 1);
