--- a/packages/jobs/include/jasminespar/jobs/messages.h
+++ b/packages/jobs/include/jasminespar/jobs/messages.h
@@ -180,11 +180,10 @@
   kLeaseOver,
   kNewIncarnation,
   kUnanswered,
-  kWorkerLeaving,
   kRefused,
 };
 
-inline constexpr NameTable<DecisionCause, 12> kDecisionCauseNames{{
+inline constexpr NameTable<DecisionCause, 11> kDecisionCauseNames{{
     {DecisionCause::kNone, "none", "Nothing to add."},
     {DecisionCause::kRoomFound, "room_found", "A worker has room for it."},
     {DecisionCause::kPreempted, "preempted", "A guarantee needs the room."},
@@ -197,7 +196,6 @@
     {DecisionCause::kNewIncarnation, "new_incarnation",
      "The worker restarted."},
     {DecisionCause::kUnanswered, "unanswered", "Its order got no answer."},
-    {DecisionCause::kWorkerLeaving, "worker_leaving", "The worker leaves."},
     {DecisionCause::kRefused, "refused", "The worker turned it away."},
 }};
 static_assert(IsDense(kDecisionCauseNames));
--- a/packages/jobs/include/jasminespar/jobs/site_configuration.h
+++ b/packages/jobs/include/jasminespar/jobs/site_configuration.h
@@ -28,7 +28,6 @@
   std::uint32_t max_attempts = 1;
   double slack_factor = 1.0;
   Duration target_runtime{};  ///< Allowed on top of the slack.
-  bool needs_advice = false;
 };
 
 struct AccountConfiguration {
@@ -42,7 +41,7 @@
   Revision version;
   std::vector<QueueConfiguration> queues;
   std::vector<AccountConfiguration> accounts;
-  std::size_t max_body_bytes = 0;
+  std::size_t max_body_bytes = 0;  ///< Of a caller's request; 0: no limit.
 
   /// @return the queue of a request, or null.
   /// @param host as the request names it, with or without a port.
--- a/packages/jobs/src/run_ends.cc
+++ b/packages/jobs/src/run_ends.cc
@@ -175,7 +175,6 @@
                                  const Now& now) {
   if (hold.phase == HoldPhase::kStopping) return;
   hold.phase = HoldPhase::kStopping;
-  hold.stop_cause = cause;
   hold.in_flight = false;
   hold.retry_at = now.steady;
   NoteRun(DecisionKind::kStop, cause, name, worker.entry.name, hold.run, "",
--- a/packages/jobs/src/worker_pool.h
+++ b/packages/jobs/src/worker_pool.h
@@ -32,7 +32,6 @@
   TimePoint retry_at;       ///< Of an unanswered start or stop.
   std::optional<TimePoint> confirmed_at;  ///< The worker said it runs.
   std::optional<TimePoint> stop_confirmed_at;
-  DecisionCause stop_cause = DecisionCause::kNone;
   std::uint32_t percent = 0;
   std::string checkpoint;        ///< Newest that the worker lists.
   std::string start_checkpoint;  ///< The start resumes from it.
--- a/packages/jobserver/src/job_front.cc
+++ b/packages/jobserver/src/job_front.cc
@@ -180,6 +180,10 @@
   if (account == nullptr && !queue->is_public) {
     co_return Refuse(Reason::kUnknownKey, none, path, now);
   }
+  const std::size_t limit = configuration_->max_body_bytes;
+  if (limit > 0 && request.body.size() > limit) {
+    co_return Refuse(Reason::kBodyTooLarge, none, path, now);
+  }
   Call call;
   call.queue = *queue;
   if (account != nullptr) call.account = account->name;
--- a/packages/jobserver/src/job_server.cc
+++ b/packages/jobserver/src/job_server.cc
@@ -22,6 +22,7 @@
 namespace asio = boost::asio;
 using runtime::Channel;
 using runtime::Duty;
+using runtime::JoinConsumer;
 using telemetry::Event;
 
 namespace {
@@ -173,15 +174,6 @@
     Channel<ToTelemetry> main_to_telemetry;
   };
 
-  template <typename Message, typename Consumer>
-  void Join(Channel<Message>& channel, Duty& producer, Duty& consumer_duty,
-            Consumer& consumer) {
-    runtime::Join(channel, producer, consumer_duty,
-                  [&consumer](Message&& message) {
-                    consumer.Handle(std::move(message));
-                  });
-  }
-
   void JoinRings() {
     runtime::Join(rings_.front_to_store, front_duty_, store_duty_,
                   [this](FrontToStore&& message) {
@@ -195,22 +187,31 @@
                   [this](PeersToStore&& message) {
                     store_.HandlePeers(std::move(message));
                   });
-    Join(rings_.store_to_peers, store_duty_, peer_duty_, peers_);
-    Join(rings_.front_to_peers, front_duty_, peer_duty_, peers_);
-    Join(rings_.peers_to_front, peer_duty_, front_duty_, front_);
-    Join(rings_.peers_to_dispatch, peer_duty_, dispatch_duty_, dispatch_);
-    Join(rings_.peers_to_telemetry, peer_duty_, telemetry_duty_, telemetry_);
-    Join(rings_.front_to_telemetry, front_duty_, telemetry_duty_, telemetry_);
-    Join(rings_.store_to_front, store_duty_, front_duty_, front_);
-    Join(rings_.store_to_dispatch, store_duty_, dispatch_duty_, dispatch_);
-    Join(rings_.store_to_telemetry, store_duty_, telemetry_duty_, telemetry_);
-    Join(rings_.dispatch_to_workers, dispatch_duty_, worker_duty_, workers_);
-    Join(rings_.dispatch_to_telemetry, dispatch_duty_, telemetry_duty_,
-         telemetry_);
-    Join(rings_.workers_to_dispatch, worker_duty_, dispatch_duty_, dispatch_);
-    Join(rings_.main_to_front, main_duty_, front_duty_, front_);
-    Join(rings_.main_to_dispatch, main_duty_, dispatch_duty_, dispatch_);
-    Join(rings_.main_to_telemetry, main_duty_, telemetry_duty_, telemetry_);
+    JoinConsumer(rings_.store_to_peers, store_duty_, peer_duty_, peers_);
+    JoinConsumer(rings_.front_to_peers, front_duty_, peer_duty_, peers_);
+    JoinConsumer(rings_.peers_to_front, peer_duty_, front_duty_, front_);
+    JoinConsumer(rings_.peers_to_dispatch, peer_duty_, dispatch_duty_,
+                 dispatch_);
+    JoinConsumer(rings_.peers_to_telemetry, peer_duty_, telemetry_duty_,
+                 telemetry_);
+    JoinConsumer(rings_.front_to_telemetry, front_duty_, telemetry_duty_,
+                 telemetry_);
+    JoinConsumer(rings_.store_to_front, store_duty_, front_duty_, front_);
+    JoinConsumer(rings_.store_to_dispatch, store_duty_, dispatch_duty_,
+                 dispatch_);
+    JoinConsumer(rings_.store_to_telemetry, store_duty_, telemetry_duty_,
+                 telemetry_);
+    JoinConsumer(rings_.dispatch_to_workers, dispatch_duty_, worker_duty_,
+                 workers_);
+    JoinConsumer(rings_.dispatch_to_telemetry, dispatch_duty_, telemetry_duty_,
+                 telemetry_);
+    JoinConsumer(rings_.workers_to_dispatch, worker_duty_, dispatch_duty_,
+                 dispatch_);
+    JoinConsumer(rings_.main_to_front, main_duty_, front_duty_, front_);
+    JoinConsumer(rings_.main_to_dispatch, main_duty_, dispatch_duty_,
+                 dispatch_);
+    JoinConsumer(rings_.main_to_telemetry, main_duty_, telemetry_duty_,
+                 telemetry_);
   }
 
   void StartDuties() {
--- a/packages/jobserver/src/store_link.cc
+++ b/packages/jobserver/src/store_link.cc
@@ -192,7 +192,8 @@
              {{"after_ms", ToMilliseconds(now - failing_since_)}});
   } else {
     failing_since_ = now;
-    log_.Log(Event::kStoreUnavailable, {{"peer_ready", relay_available_}});
+    log_.Log(Event::kStoreUnavailable, {{"peer_ready", relay_available_},
+                                        {"fault", client_.last_fault()}});
   }
 }
 
--- a/packages/runtime/include/jasminespar/runtime/duty.h
+++ b/packages/runtime/include/jasminespar/runtime/duty.h
@@ -62,6 +62,14 @@
       });
 }
 
+/// Joins two duties by a channel whose messages the consumer's `Handle` takes.
+template <typename Message, typename Consumer>
+void JoinConsumer(Channel<Message>& channel, Duty& producer,
+                  Duty& consumer_duty, Consumer& consumer) {
+  Join(channel, producer, consumer_duty,
+       [&consumer](Message&& message) { consumer.Handle(std::move(message)); });
+}
+
 }  // namespace jasminespar::runtime
 
 #endif  // JASMINESPAR_RUNTIME_DUTY_H_
--- a/packages/site/include/jasminespar/site/table_client.h
+++ b/packages/site/include/jasminespar/site/table_client.h
@@ -77,12 +77,18 @@
   /// @return whether the table served the last straight attempt.
   [[nodiscard]] bool reached() const noexcept { return path_.reached(); }
 
+  /// @return what the last straight attempt without an answer failed of.
+  [[nodiscard]] const std::string& last_fault() const noexcept {
+    return last_fault_;
+  }
+
  private:
   boost::asio::io_context& context_;
   TableClientSettings settings_;
   TableCodec codec_;
   Hooks hooks_;
   TablePathChooser path_;
+  std::string last_fault_;
   http::Client client_;
   http::Client watch_client_;
 };
--- a/packages/site/src/table_client.cc
+++ b/packages/site/src/table_client.cc
@@ -50,8 +50,12 @@
     const http::Response response =
         co_await client.Send(std::move(encoded), timeout);
     outcome = codec_.decode(request, response);
+    if (!IsServed(outcome)) {
+      last_fault_ = "status " + std::to_string(response.status);
+    }
   } catch (const Error& error) {
-    // The observer counts it and logs the change.
+    // The observer counts it and logs the change with this text.
+    last_fault_ = error.what();
     if (error.verdict() == Verdict::kNotRun) outcome = TurnedAway{};
   }
   path_.SeeStraight(outcome, runtime::SteadyNow());
