Leave a second of a reclaim's bound for stops that are seen late

Change: others are stopped a second before the bound less stop_limit (at 1.5 s of 3.4 s) at the latest.

--- a/packages/jobs/src/reclaim.cc
+++ b/packages/jobs/src/reclaim.cc
@@ -18,8 +18,8 @@
 /// it works itself.
 constexpr double kWorthwhileLoss = 2.0;
 
-/// Of the bound, for orders and their answers on the way.
-constexpr Duration kReclaimMargin = 600ms;
+/// Of the bound, for orders on the way and the look that shows the room.
+constexpr Duration kReclaimMargin = 1000ms;
 
 /// Between two looks for room that is worth its loss.
 constexpr Duration kReclaimRetryInterval = 200ms;
