--- /dev/null
+++ b/tests/jobserver/job_front_test.cc
@@ -0,0 +1,194 @@
+// The front between real HTTP callers and a store link that the test plays.
+#include "jasminespar/jobserver/job_front.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/use_future.hpp>
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <future>
+#include <memory>
+#include <string>
+#include <utility>
+
+#include "jasminespar/core/overloaded.h"
+#include "jasminespar/fleet/fleet_codec.h"
+#include "jasminespar/http/client.h"
+#include "jasminespar/standins/site_plan.h"
+
+namespace jasminespar::jobserver {
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr std::size_t kRing = 64;
+constexpr std::size_t kBodyLimit = 400;
+const std::string kJobPath = "/match/5c0e7a21d94b36f8";
+const std::string kJobBody =
+    R"({"spec":"text","steps":[{"count":1,"cpu":500,"mem_mb":256,"gpu":1}]})";
+
+std::shared_ptr<const jobs::SiteConfiguration> Configuration() {
+  auto site = std::make_shared<jobs::SiteConfiguration>();
+  jobs::QueueConfiguration queue;
+  queue.name.value = "match";
+  queue.host = "pairs.example";
+  queue.prefix = "/match/";
+  queue.service.value = "matching";
+  site->queues.push_back(queue);
+  site->accounts.push_back({{"school"}, {"good-key"}, 8});
+  site->version = Revision{3};
+  site->max_body_bytes = kBodyLimit;
+  return site;
+}
+
+/// Joins the front to a duty on which the test answers for the table.
+class FrontFixture {
+ public:
+  FrontFixture()
+      : port_(standins::FindFreePorts(2)),
+        front_(front_duty_, Settings(port_), fleet::MakeFleetCodec(),
+               {to_store_, to_peers_, to_telemetry_}, metrics_) {
+    runtime::Join(to_store_, front_duty_, world_duty_,
+                  [this](FrontToStore&& message) { Play(std::move(message)); });
+    runtime::Join(to_peers_, front_duty_, world_duty_, [this](ToPeers&& told) {
+      if (auto* here = std::get_if<UnsettledHere>(&told)) told_ = here->jobs;
+    });
+    runtime::Join(to_telemetry_, front_duty_, world_duty_,
+                  [](ToTelemetry&&) {});
+    runtime::JoinConsumer(to_front_, world_duty_, front_duty_, front_);
+    asio::post(front_duty_.context(), [this] { front_.Start(); });
+    front_duty_.Start();
+    world_duty_.Start();
+    Tell(ConfigurationSeen{Configuration()});
+  }
+
+  ~FrontFixture() {
+    front_duty_.Stop();
+    world_duty_.Stop();
+  }
+
+  FrontFixture(const FrontFixture&) = delete;
+  FrontFixture& operator=(const FrontFixture&) = delete;
+
+  void Tell(ToFront message) {
+    OnWorld([this, &message] { to_front_.Send(std::move(message)); });
+  }
+
+  /// What the table answers to writes from here on.
+  void AnswerWrites(site::TableOutcome outcome) {
+    OnWorld([this, &outcome] { outcome_ = std::move(outcome); });
+  }
+
+  /// @return submissions that peers were last told of.
+  std::vector<jobs::JobId> told() {
+    std::vector<jobs::JobId> jobs;
+    OnWorld([this, &jobs] { jobs = told_; });
+    return jobs;
+  }
+
+  http::Response Submit(const std::string& body = kJobBody,
+                        const std::string& key = "good-key",
+                        const std::string& path = kJobPath) {
+    http::Request request;
+    request.method = "POST";
+    request.target = path;
+    request.headers = {{"Host", "pairs.example"},
+                       {"Authorization", "Token " + key},
+                       {"Content-Type", "application/json"}};
+    request.body = body;
+    asio::io_context context{1};
+    http::Client client(context, "127.0.0.1", port_, 1);
+    auto response = asio::co_spawn(context, client.Send(std::move(request), 5s),
+                                   asio::use_future);
+    context.run_for(std::chrono::seconds(10));
+    return response.get();
+  }
+
+ private:
+  static JobFrontSettings Settings(std::uint16_t port) {
+    JobFrontSettings settings;
+    settings.callers = {"127.0.0.1", port};
+    settings.readiness = {"127.0.0.1", static_cast<std::uint16_t>(port + 1)};
+    return settings;
+  }
+
+  template <typename Action>
+  void OnWorld(Action action) {
+    std::promise<void> done;
+    asio::post(world_duty_.context(), [&] {
+      action();
+      done.set_value();
+    });
+    done.get_future().wait();
+  }
+
+  void Play(FrontToStore message) {
+    std::visit(Overloaded{
+                   [this](WriteRows& write) {
+                     to_front_.Send(WriteEnded{write.number, outcome_});
+                   },
+                   [this](ReadRow& read) {
+                     to_front_.Send(ReadEnded{read.number, site::RowPage{}});
+                   },
+               },
+               message);
+  }
+
+  std::uint16_t port_;
+  telemetry::Metrics metrics_;
+  runtime::Channel<FrontToStore> to_store_{kRing};
+  runtime::Channel<ToPeers> to_peers_{kRing};
+  runtime::Channel<ToTelemetry> to_telemetry_{kRing};
+  runtime::Channel<ToFront> to_front_{kRing};
+  runtime::Duty front_duty_{"front"};
+  runtime::Duty world_duty_{"world"};
+  JobFront front_;
+  site::TableOutcome outcome_ = site::Committed{};
+  std::vector<jobs::JobId> told_;
+};
+
+TEST_CASE("a job is accepted once the table has stored it, also again") {
+  FrontFixture fixture;
+  CHECK(fixture.Submit().status == 200);
+  CHECK(fixture.Submit().status == 200);
+}
+
+TEST_CASE("what the table turned away is refused with a time to come back") {
+  FrontFixture fixture;
+  fixture.AnswerWrites(site::TurnedAway{});
+  const http::Response response = fixture.Submit();
+  CHECK(response.status == 503);
+  CHECK_FALSE(http::HeaderOf(response.headers, "Retry-After").empty());
+}
+
+TEST_CASE("after an unknown outcome nobody says that the job never runs") {
+  FrontFixture fixture;
+  const bool here = GENERATE(true, false);
+  if (here) {
+    fixture.AnswerWrites(site::NoAnswer{});
+    CHECK(fixture.Submit().status == 504);
+    CHECK(fixture.told() == std::vector<jobs::JobId>{{"5c0e7a21d94b36f8"}});
+  } else {
+    fixture.Tell(UnsettledAtPeer{{"edge-2"}, {{"5c0e7a21d94b36f8"}}});
+  }
+  fixture.AnswerWrites(site::TurnedAway{});
+  CHECK(fixture.Submit().status == 504);
+  // An attempt has stored it: that settles the matter.
+  fixture.AnswerWrites(site::Conflict{});
+  CHECK(fixture.Submit().status == 200);
+  CHECK(fixture.told().empty());
+}
+
+TEST_CASE("requests that the configuration does not allow are refused") {
+  FrontFixture fixture;
+  CHECK(fixture.Submit(kJobBody, "other-key").status == 401);
+  CHECK(
+      fixture.Submit(kJobBody, "good-key", "/other/5c0e7a21d94b36f8").status ==
+      404);
+  CHECK(fixture.Submit("{not json").status == 400);
+  CHECK(fixture.Submit(std::string(kBodyLimit + 1, 'x')).status == 413);
+}
+
+}  // namespace
+}  // namespace jasminespar::jobserver
