Renew an unknown submission at each unknown attempt; log a reclaim put off

Found on the last reading: a second attempt that ended unknown as well did not renew the 12 s for which a late write may come. A reclaim that waits for its bound was a decision without a line in the log; it has one now, once a step.

--- a/packages/jobs/include/jasminespar/jobs/messages.h
+++ b/packages/jobs/include/jasminespar/jobs/messages.h
@@ -145,9 +145,10 @@
   kOrderUnanswered,
   kOrderRefused,
   kRunLost,
+  kReclaimPostponed,
 };
 
-inline constexpr NameTable<DecisionKind, 15> kDecisionNames{{
+inline constexpr NameTable<DecisionKind, 16> kDecisionNames{{
     {DecisionKind::kStart, "start", "A run was ordered."},
     {DecisionKind::kStop, "stop", "A run was told to stop."},
     {DecisionKind::kRunEnded, "run_ended", "A worker listed an end."},
@@ -165,6 +166,8 @@
      "An order may or may not be carried out."},
     {DecisionKind::kOrderRefused, "order_refused", "A worker refused it."},
     {DecisionKind::kRunLost, "run_lost", "A run is surely over, unlisted."},
+    {DecisionKind::kReclaimPostponed, "reclaim_postponed",
+     "Stopping others would lose more than it is worth yet."},
 }};
 static_assert(IsDense(kDecisionNames));
 
--- a/packages/jobs/src/reclaim.cc
+++ b/packages/jobs/src/reclaim.cc
@@ -172,6 +172,8 @@
   if (chosen.empty()) chosen = CheapestOffers(std::move(all), tasks);
   if (chosen.empty()) return;
   if (!IsWorthItsLoss(job, step, chosen, now)) {
+    const bool first = step.next_reclaim == TimePoint{};
+    if (first) NoteJob(DecisionKind::kReclaimPostponed, job, "", now);
     step.next_reclaim = now.steady + kReclaimRetryInterval;
     return;
   }
--- a/packages/jobserver/src/job_front.cc
+++ b/packages/jobserver/src/job_front.cc
@@ -252,14 +252,15 @@
   }
   const TimePoint now = runtime::SteadyNow();
   const bool tried_before = unsettled_.MayBeStored(id, now);
-  const Reason reason =
-      tried_before ? Reason::kOutcomeUnknown : ReasonOf(outcome);
-  if (reason == Reason::kOutcomeUnknown && !tried_before) {
+  const Reason reason = ReasonOf(outcome);
+  if (reason == Reason::kOutcomeUnknown) {
     unsettled_.Add(id, now);
     TellUnsettled();
   }
-  co_return Refuse(reason, id, tried_before ? "tried before" : "submit",
-                   call.arrived);
+  if (tried_before) {
+    co_return Refuse(Reason::kOutcomeUnknown, id, "tried before", call.arrived);
+  }
+  co_return Refuse(reason, id, "submit", call.arrived);
 }
 
 asio::awaitable<JobFront::WriteOutcome> JobFront::Write(
