Log how much of a response a failed read of the table received

What the operators saw: a configuration not in force, and 5001 lines that do not say whether the table was silent or the transfer too long. Change: the error of an HTTP exchange that ends within a response says how many bytes of its body were received; 6003 gives the configuration's size and the time of decoding. Ruled out: a silent table, the wait for a connection. Conclusion: reads of a large configuration are abandoned at a fixed time.

--- a/packages/http/src/client.cc
+++ b/packages/http/src/client.cc
@@ -58,6 +58,17 @@
   return response;
 }
 
+using Parser = beast::http::response_parser<beast::http::string_body>;
+
+/// @return how much of the response was received, for the error's text; empty
+///     when there was nothing of its body.
+std::string ReceivedText(const Parser& parser) {
+  const std::size_t received = parser.get().body().size();
+  if (received == 0) return {};
+  return ", received " + std::to_string(received) + " of " +
+         std::to_string(parser.content_length().value_or(0)) + " bytes";
+}
+
 /// @return whether an idle connection cannot be reused: a peek that would not
 ///     block means that the server closed it, it failed, or unexpected bytes
 ///     arrived.
@@ -180,7 +191,7 @@
     co_await beast::http::async_write(
         connection.stream, message,
         asio::redirect_error(asio::use_awaitable, error));
-    beast::http::response_parser<beast::http::string_body> parser;
+    Parser parser;
     parser.body_limit(std::numeric_limits<std::uint64_t>::max());
     if (!error) {
       co_await beast::http::async_read(
@@ -189,7 +200,7 @@
     }
     if (error) {
       throw Error(Reason::kWorkerUnreachable, Verdict::kMayHaveRun,
-                  error.message());
+                  error.message() + ReceivedText(parser));
     }
     connection.stream.expires_never();
     busy.reusable = parser.get().keep_alive();
--- a/packages/jobserver/src/store_watches.cc
+++ b/packages/jobserver/src/store_watches.cc
@@ -18,6 +18,7 @@
 #include "jasminespar/jobserver/table_layout.h"
 #include "jasminespar/protocol/job_records.h"
 #include "jasminespar/protocol/relay_message.h"
+#include "jasminespar/runtime/clock.h"
 #include "jasminespar/runtime/sleep.h"
 
 namespace jasminespar::jobserver {
@@ -271,6 +272,7 @@
 
 void StoreLink::HandleConfigurationRow(const site::Row& row) {
   if (row.key != codec_.operators.configuration_row || row.deleted) return;
+  const TimePoint begun = runtime::SteadyNow();
   auto decoded = codec_.operators.decode_configuration(row.value);
   if (const auto* error = std::get_if<site::DecodeError>(&decoded)) {
     LogUnreadableRow(row, error->message);
@@ -283,7 +285,9 @@
            {{"version", configuration_version_},
             {"queues", configuration.queues.size()},
             {"accounts", configuration.accounts.size()},
-            {"row", row.version.value}});
+            {"row", row.version.value},
+            {"bytes", row.value.size()},
+            {"decode_ms", ToMilliseconds(runtime::SteadyNow() - begun)}});
   metrics_.Count(telemetry::Counter::kRevisionsApplied);
   const auto shared =
       std::make_shared<const jobs::SiteConfiguration>(std::move(configuration));
