Abandon a table's response for a pause, not for its length

Cause: each read had one limit for the whole exchange (a watch of the configuration 1 s), while the time of the transfer grows with the configuration: 1.2 MB take a 10 Mbit/s link a second. The read was abandoned, began again from the first byte, and marked the table as unavailable. Class: a fixed time for work whose duration grows with size. Change: http::ExchangeLimits: a limit up to the first byte of the response and one for pauses; all requests of the table client use it, so that other long pages (jobs, statuses, progress) and long transactions are covered too. Ruled out: a longer fixed limit, which only moves the size at which it fails.

--- a/packages/http/include/jasminespar/http/client.h
+++ b/packages/http/include/jasminespar/http/client.h
@@ -9,7 +9,9 @@
 #include <boost/asio/io_context.hpp>
 #include <cstddef>
 #include <cstdint>
+#include <limits>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "jasminespar/core/time.h"
@@ -17,6 +19,19 @@
 
 namespace jasminespar::http {
 
+/// Limits of one exchange.
+struct ExchangeLimits {
+  /// For the wait for a connection, the connect, and then from the end of the
+  /// request to the first byte of the response.
+  Duration response{};
+  /// Longest pause within the request or the response. A transfer that goes on
+  /// has no other limit, so that its size does not matter. Without a value,
+  /// `response` limits the whole exchange.
+  std::optional<Duration> idle;
+  /// Largest body of a response.
+  std::uint64_t max_body_bytes = std::numeric_limits<std::uint64_t>::max();
+};
+
 /// Sends requests to one server over a bounded pool of keep-alive connections.
 /// Not thread-safe: call it only on the thread that runs its io_context.
 class Client {
@@ -35,10 +50,15 @@
   /// Sends a request and reads the whole response. Never retries: if the server
   /// closes a keep-alive connection before it answers, the request may have
   /// been processed, so the error carries kMayHaveRun.
-  /// @param timeout limit for the whole exchange, including the wait for a
-  ///     connection.
   /// @throws Error with kWorkerUnreachable; its verdict is kNotRun if no
   ///     connection was obtained, so that no byte was sent, else kMayHaveRun.
+  ///     kBodyTooLarge when the response is larger than the limit.
+  [[nodiscard]] boost::asio::awaitable<Response> Send(Request request,
+                                                      ExchangeLimits limits);
+
+  /// @param timeout limit for the whole exchange, including the wait for a
+  ///     connection.
+  /// @throws Error as above.
   [[nodiscard]] boost::asio::awaitable<Response> Send(Request request,
                                                       Duration timeout);
 
--- a/packages/http/src/client.cc
+++ b/packages/http/src/client.cc
@@ -7,7 +7,7 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <deque>
-#include <limits>
+#include <optional>
 #include <set>
 #include <utility>
 
@@ -92,13 +92,15 @@
         endpoint_(asio::ip::make_address(host_), port),
         max_connections_(max_connections) {}
 
-  asio::awaitable<Response> Send(Request request, Duration timeout) {
-    const SteadyClock::time_point deadline = SteadyClock::now() + timeout;
+  asio::awaitable<Response> Send(Request request, ExchangeLimits limits) {
+    const SteadyClock::time_point deadline =
+        SteadyClock::now() + limits.response;
     std::shared_ptr<Connection> connection = co_await Acquire(deadline);
     BusyConnection busy(*this, connection);
     co_await Connect(*connection, deadline);
     Message message = ToMessage(std::move(request), host_);
-    Response response = co_await Exchange(*connection, message, busy, deadline);
+    co_await Write(*connection, message, limits, deadline);
+    Response response = co_await Read(*connection, busy, limits, deadline);
     co_return response;
   }
 
@@ -183,30 +185,58 @@
     connection.stream.socket().set_option(Tcp::no_delay(true), error);
   }
 
-  asio::awaitable<Response> Exchange(Connection& connection, Message& message,
-                                     BusyConnection& busy,
-                                     SteadyClock::time_point deadline) {
+  asio::awaitable<void> Write(Connection& connection, Message& message,
+                              const ExchangeLimits& limits,
+                              SteadyClock::time_point deadline) {
     connection.stream.expires_at(deadline);
+    beast::http::request_serializer<beast::http::string_body> serializer(
+        message);
     beast::error_code error;
-    co_await beast::http::async_write(
-        connection.stream, message,
-        asio::redirect_error(asio::use_awaitable, error));
+    while (!error && !serializer.is_done()) {
+      co_await beast::http::async_write_some(
+          connection.stream, serializer,
+          asio::redirect_error(asio::use_awaitable, error));
+      ExtendDeadline(connection, limits.idle);
+    }
+    if (error) ThrowAfterSend(error.message());
+  }
+
+  asio::awaitable<Response> Read(Connection& connection, BusyConnection& busy,
+                                 const ExchangeLimits& limits,
+                                 SteadyClock::time_point deadline) {
+    if (limits.idle) {
+      connection.stream.expires_after(limits.response);
+    } else {
+      connection.stream.expires_at(deadline);
+    }
     Parser parser;
-    parser.body_limit(std::numeric_limits<std::uint64_t>::max());
-    if (!error) {
-      co_await beast::http::async_read(
+    parser.body_limit(limits.max_body_bytes);
+    beast::error_code error;
+    while (!error && !parser.is_done()) {
+      co_await beast::http::async_read_some(
           connection.stream, connection.buffer, parser,
           asio::redirect_error(asio::use_awaitable, error));
+      ExtendDeadline(connection, limits.idle);
     }
-    if (error) {
-      throw Error(Reason::kWorkerUnreachable, Verdict::kMayHaveRun,
-                  error.message() + ReceivedText(parser));
+    if (error == beast::http::error::body_limit) {
+      throw Error(Reason::kBodyTooLarge, Verdict::kMayHaveRun, error.message());
     }
+    if (error) ThrowAfterSend(error.message() + ReceivedText(parser));
     connection.stream.expires_never();
     busy.reusable = parser.get().keep_alive();
     co_return ToResponse(parser.release());
   }
 
+  /// After a piece of a message was transferred.
+  static void ExtendDeadline(Connection& connection,
+                             const std::optional<Duration>& idle) {
+    if (idle) connection.stream.expires_after(*idle);
+  }
+
+  [[noreturn]] static void ThrowAfterSend(const std::string& detail) {
+    throw Error(Reason::kWorkerUnreachable, Verdict::kMayHaveRun, detail);
+  }
+
   asio::io_context& context_;
   std::string host_;
   Tcp::endpoint endpoint_;
@@ -226,10 +256,16 @@
 Client::~Client() { impl_->Close(); }
 
 asio::awaitable<Response> Client::Send(Request request, Duration timeout) {
+  ExchangeLimits limits;
+  limits.response = timeout;
+  return Send(std::move(request), limits);
+}
+
+asio::awaitable<Response> Client::Send(Request request, ExchangeLimits limits) {
   // Keeps the pool alive while the request is in progress, also when the
   // Client is destroyed meanwhile.
   std::shared_ptr<Impl> impl = impl_;
-  co_return co_await impl->Send(std::move(request), timeout);
+  co_return co_await impl->Send(std::move(request), limits);
 }
 
 void Client::Close() { impl_->Close(); }
--- a/packages/site/include/jasminespar/site/table_client.h
+++ b/packages/site/include/jasminespar/site/table_client.h
@@ -20,13 +20,16 @@
 
 struct TableClientSettings {
   configuration::Address address;
-  /// For one read attempt. A healthy table answers within some tens of
-  /// milliseconds, a slow one within a few hundred.
+  /// From a read to the first byte of its response. A healthy table answers
+  /// within some tens of milliseconds, a slow one within a few hundred.
   Duration read_timeout = 700ms;
-  /// For one attempt of a transaction. In a slow table, transactions of one
+  /// From a transaction to the first byte of its response. In a slow table, transactions of one
   /// partition wait for each other for up to a second; retries sent earlier
   /// only lengthen that wait.
   Duration write_timeout = 1000ms;
+  /// Longest pause within a message. However long a message is, it is not
+  /// abandoned while its transfer goes on.
+  Duration idle_timeout = 1000ms;
   Duration retry_delay = 60ms;
   std::size_t max_connections = 12;
 };
--- a/packages/site/src/table_client.cc
+++ b/packages/site/src/table_client.cc
@@ -14,7 +14,7 @@
 
 namespace {
 
-/// Added to the wait of a watch to get its timeout.
+/// Added to the wait of a watch, for the first byte of its response.
 constexpr Duration kWatchMargin = 500ms;
 
 /// Concurrent watches, including those relayed for peers.
@@ -37,7 +37,9 @@
 asio::awaitable<TableOutcome> TableClient::SendDirect(TableRequest request) {
   const bool is_watch = std::holds_alternative<Watch>(request);
   http::Client& client = is_watch ? watch_client_ : client_;
-  const Duration timeout = std::visit(
+  http::ExchangeLimits limits;
+  limits.idle = settings_.idle_timeout;
+  limits.response = std::visit(
       Overloaded{
           [](const Watch& watch) { return watch.wait + kWatchMargin; },
           [this](const RowRange&) { return settings_.read_timeout; },
@@ -48,7 +50,7 @@
   TableOutcome outcome = NoAnswer{};
   try {
     const http::Response response =
-        co_await client.Send(std::move(encoded), timeout);
+        co_await client.Send(std::move(encoded), limits);
     outcome = codec_.decode(request, response);
     if (!IsServed(outcome)) {
       last_error_ = "status " + std::to_string(response.status);
