--- a/packages/jobs/include/jasminespar/jobs/messages.h
+++ b/packages/jobs/include/jasminespar/jobs/messages.h
@@ -13,7 +13,7 @@
 #include "jasminespar/core/name_table.h"
 #include "jasminespar/core/time.h"
 #include "jasminespar/jobs/progress.h"
-#include "jasminespar/jobs/site_configuration.h"
+#include "jasminespar/jobs/configuration_snapshot.h"
 #include "jasminespar/jobs/worker.h"
 
 namespace jasminespar::jobs {
@@ -30,7 +30,7 @@
 // ---- Inputs ----
 
 struct ConfigurationChanged {
-  std::shared_ptr<const SiteConfiguration> configuration;
+  std::shared_ptr<const ConfigurationSnapshot> configuration;
 };
 
 /// A job was read from the table. `progress` is what earlier owners recorded;
--- a/packages/jobs/include/jasminespar/jobs/site_configuration.h
+++ b/packages/jobs/include/jasminespar/jobs/site_configuration.h
@@ -6,11 +6,8 @@
 
 #include <cstddef>
 #include <cstdint>
-#include <map>
-#include <optional>
 #include <set>
 #include <string>
-#include <string_view>
 #include <vector>
 
 #include "jasminespar/jobs/job.h"
@@ -28,12 +25,16 @@
   std::uint32_t max_attempts = 1;
   double slack_factor = 1.0;
   Duration target_runtime{};  ///< Added to the slack to give a job's objective.
+
+  bool operator==(const QueueConfiguration&) const = default;
 };
 
 struct AccountConfiguration {
   ClientAccountId name;
   std::set<std::string, std::less<>> keys;
   std::int64_t guaranteed_accelerators = 0;  ///< For jobs of priority 0.
+
+  bool operator==(const AccountConfiguration&) const = default;
 };
 
 /// One complete version of the configuration.
@@ -42,18 +43,6 @@
   std::vector<QueueConfiguration> queues;
   std::vector<AccountConfiguration> accounts;
   std::size_t max_body_bytes = 0;  ///< Limit on a caller's request; 0: none.
-
-  /// @param host of the request, with or without a port.
-  /// @return the queue for a request, or null.
-  [[nodiscard]] const QueueConfiguration* FindQueueByRoute(
-      std::string_view host, std::string_view path) const;
-
-  /// @return the queue of that name, or null.
-  [[nodiscard]] const QueueConfiguration* FindQueue(const QueueId& name) const;
-
-  /// @return the account with that API key, or null.
-  [[nodiscard]] const AccountConfiguration* FindAccountByKey(
-      std::string_view key) const;
 };
 
 }  // namespace jasminespar::jobs
--- a/packages/jobs/src/dispatcher_impl.h
+++ b/packages/jobs/src/dispatcher_impl.h
@@ -226,7 +226,7 @@
 
   DispatcherSettings settings_;
   Epoch epoch_;
-  std::shared_ptr<const SiteConfiguration> configuration_;
+  std::shared_ptr<const ConfigurationSnapshot> configuration_;
   std::map<JobId, JobState> jobs_;
   std::set<JobId> live_;             ///< Jobs that have not ended.
   std::set<JobId> cancelled_early_;  ///< Cancelled before they were loaded.
--- a/packages/jobserver/include/jasminespar/jobserver/dispatch_duty.h
+++ b/packages/jobserver/include/jasminespar/jobserver/dispatch_duty.h
@@ -115,7 +115,7 @@
   boost::asio::steady_timer tick_timer_;
   jobs::Ownership ownership_;
   std::unique_ptr<jobs::Dispatcher> dispatcher_;
-  std::shared_ptr<const jobs::SiteConfiguration> configuration_;
+  std::shared_ptr<const jobs::ConfigurationSnapshot> configuration_;
   std::optional<OwnerWrite> in_flight_;
   std::optional<jobs::Commit> pending_commit_;
   /// Jobs whose own rows are being deleted, by the number of the write.
--- a/packages/jobserver/include/jasminespar/jobserver/job_front.h
+++ b/packages/jobserver/include/jasminespar/jobserver/job_front.h
@@ -116,7 +116,7 @@
   EventLog log_;
   http::Server server_;
   http::Server readiness_server_;
-  std::shared_ptr<const jobs::SiteConfiguration> configuration_;
+  std::shared_ptr<const jobs::ConfigurationSnapshot> configuration_;
   std::unordered_map<jobs::JobId, jobs::JobStatus> statuses_;
   std::set<jobs::JobId> cancelled_;
   jobs::UnsettledSubmissions unsettled_;
--- a/packages/jobserver/include/jasminespar/jobserver/messages.h
+++ b/packages/jobserver/include/jasminespar/jobserver/messages.h
@@ -22,7 +22,7 @@
 
 /// The table holds a newer configuration.
 struct ConfigurationUpdate {
-  std::shared_ptr<const jobs::SiteConfiguration> configuration;
+  std::shared_ptr<const jobs::ConfigurationSnapshot> configuration;
 };
 /// A job's status row was read or has changed.
 struct StatusUpdate {
--- a/packages/jobserver/src/job_front.cc
+++ b/packages/jobserver/src/job_front.cc
@@ -189,7 +189,7 @@
   if (account == nullptr && !queue->is_public) {
     co_return Refuse(Reason::kUnknownKey, none, path, now);
   }
-  const std::size_t limit = configuration_->max_body_bytes;
+  const std::size_t limit = configuration_->content().max_body_bytes;
   if (limit > 0 && request.body.size() > limit) {
     co_return Refuse(Reason::kBodyTooLarge, none, path, now);
   }
@@ -256,7 +256,7 @@
     log_.Log(Event::kJobAccepted, {{"id", id.value},
                                    {"queue", call.queue.name.value},
                                    {"account", call.account.value},
-                                   {"version", configuration_->version.value},
+                                   {"version", configuration_->version().value},
                                    {"took_ms", ToMilliseconds(took)}});
     co_return JsonResponse(codec_.caller.encode_phase(PhaseOf(id)));
   }
@@ -373,7 +373,7 @@
                                 const std::string& detail, TimePoint arrived) {
   metrics_.CountRefusal(reason);
   const std::uint64_t version =
-      configuration_ == nullptr ? 0 : configuration_->version.value;
+      configuration_ == nullptr ? 0 : configuration_->version().value;
   log_.Log(reason == Reason::kOutcomeUnknown ? Event::kJobAnswerUnknown
                                              : Event::kJobRefused,
            {{"id", id.value},
--- a/packages/jobserver/src/store_watches.cc
+++ b/packages/jobserver/src/store_watches.cc
@@ -289,8 +289,8 @@
             {"bytes", row.value.size()},
             {"decode_ms", ToMilliseconds(runtime::SteadyNow() - begun)}});
   metrics_.Count(telemetry::Counter::kRevisionsApplied);
-  const auto shared =
-      std::make_shared<const jobs::SiteConfiguration>(std::move(configuration));
+  const auto shared = std::make_shared<const jobs::ConfigurationSnapshot>(
+      std::move(configuration));
   rings_.front.Send(ConfigurationUpdate{shared});
   rings_.dispatch.Send(ConfigurationUpdate{shared});
 }
--- a/tests/jobs/dispatcher_fixture.h
+++ b/tests/jobs/dispatcher_fixture.h
@@ -24,11 +24,12 @@
  public:
   explicit DispatcherFixture(std::uint64_t epoch = 1)
       : dispatcher(DispatcherSettings{}, Epoch{epoch, 0}) {
-    auto site = std::make_shared<SiteConfiguration>();
-    site->queues.push_back(Queue("urgent", 0, 2));
-    site->queues.push_back(Queue("batch", 2, 2));
-    site->accounts.push_back({{"school"}, {"key"}, 16});
-    configuration = std::move(site);
+    SiteConfiguration site;
+    site.queues.push_back(Queue("urgent", 0, 2));
+    site.queues.push_back(Queue("batch", 2, 2));
+    site.accounts.push_back({{"school"}, {"key"}, 16});
+    configuration =
+        std::make_shared<const ConfigurationSnapshot>(std::move(site));
     Feed(ConfigurationChanged{configuration});
   }
 
@@ -123,7 +124,7 @@
 
   DispatcherSettings settings;
   Dispatcher dispatcher;
-  std::shared_ptr<const SiteConfiguration> configuration;
+  std::shared_ptr<const ConfigurationSnapshot> configuration;
   Now now{TimePoint(1h), {1'000'000}};
   std::map<std::string, WorkerReport> reports;
   std::map<std::string, std::uint64_t> last_end;
--- a/tests/jobs/reclaim_test.cc
+++ b/tests/jobs/reclaim_test.cc
@@ -91,9 +91,10 @@
 
 TEST_CASE("work that can meet its objective starts before work that cannot") {
   DispatcherFixture fixture;
-  auto site = std::make_shared<SiteConfiguration>(*fixture.configuration);
-  for (QueueConfiguration& queue : site->queues) queue.slack_factor = 2;
-  fixture.Feed(ConfigurationChanged{site});
+  SiteConfiguration site = fixture.configuration->content();
+  for (QueueConfiguration& queue : site.queues) queue.slack_factor = 2;
+  fixture.Feed(ConfigurationChanged{
+      std::make_shared<const ConfigurationSnapshot>(std::move(site))});
   fixture.FinishLoading();
   AcceptedJob late = DispatcherFixture::Job("00000000000000cc", "batch",
                                             {DispatcherFixture::Step(1, 8)});
--- a/tests/jobserver/job_front_test.cc
+++ b/tests/jobserver/job_front_test.cc
@@ -28,18 +28,18 @@
 const std::string kJobBody =
     R"({"spec":"text","steps":[{"count":1,"cpu":500,"mem_mb":256,"gpu":1}]})";
 
-std::shared_ptr<const jobs::SiteConfiguration> Configuration() {
-  auto site = std::make_shared<jobs::SiteConfiguration>();
+std::shared_ptr<const jobs::ConfigurationSnapshot> Configuration() {
+  jobs::SiteConfiguration site;
   jobs::QueueConfiguration queue;
   queue.name.value = "match";
   queue.host = "pairs.example";
   queue.prefix = "/match/";
   queue.service.value = "matching";
-  site->queues.push_back(queue);
-  site->accounts.push_back({{"school"}, {"good-key"}, 8});
-  site->version = Revision{3};
-  site->max_body_bytes = kBodyLimit;
-  return site;
+  site.queues.push_back(queue);
+  site.accounts.push_back({{"school"}, {"good-key"}, 8});
+  site.version = Revision{3};
+  site.max_body_bytes = kBodyLimit;
+  return std::make_shared<const jobs::ConfigurationSnapshot>(std::move(site));
 }
 
 /// Connects the front to a duty that answers in place of the store link.
