Trust no task as never started that its worker knows from a stop alone

Cause, traced: attempt 1 was ordered, released and ran on worker 4; the worker restarted and lost it; the caller cancelled, and the owner's stop made the worker remember the unknown task as never_started; before that answer arrived the owner was replaced. The next owner read 'never_started' in the worker's report, recorded that the attempt never started, and ordered attempt 2, which ran on worker 2. An owner that released a task itself already distrusts that state after a stop (GangMember::stopped_after_release); one that recovered the attempt did not, as it cannot know whether an earlier owner released it. Change: a reported task in that state without accelerators was never ordered in the worker's present life, so that it may have run. A hold that expired has its accelerators and stays a true 'never started'. Ruled out: distrusting every never_started after a takeover, which would end calls whose gang was never released as may_have_run.

--- a/packages/cell/src/recovery.cc
+++ b/packages/cell/src/recovery.cc
@@ -28,6 +28,12 @@
   return found == tasks.end() ? nullptr : &*found;
 }
 
+/// @return whether the worker knows the task from a stop alone, without its
+///     order. It may have run the task before a restart.
+bool IsKnownFromStopOnly(const ReportedTask& task) {
+  return task.state == TaskState::kNeverStarted && task.accelerators == 0;
+}
+
 /// @return the member of an attempt that an earlier owner may have ordered and
 ///     released. Only its worker's report can rule out that it ran.
 GangMember ResumedMember(const Context& context,
@@ -38,7 +44,8 @@
   if (task != nullptr) {
     member.epoch = task->epoch;
     member.last_state = task->state;
-    member.released = HasStarted(task->state);
+    member.stopped_after_release = IsKnownFromStopOnly(*task);
+    member.released = HasStarted(task->state) || member.stopped_after_release;
     return member;
   }
   member.released = true;
--- a/tests/cell/recovery_test.cc
+++ b/tests/cell/recovery_test.cc
@@ -77,6 +77,34 @@
   CHECK(cell.CountOf<OrderTask>() == 0);
 }
 
+TEST_CASE(
+    "a recorded attempt that its worker knows from a stop alone may have run") {
+  TaskRef task;
+  CellFixture cell = MakeNextOwner(RecordAttempt(task));
+  const ReplyToken token = cell.Submit(MakeRequest("once", kNonIdempotent));
+  ReportedTask stopped = MakeReportedTask(task, TaskState::kNeverStarted);
+  stopped.accelerators = 0;
+  cell.Report(1, {stopped});
+  cell.MakeDurable();
+  const std::optional<Refusal> refusal = cell.ReplyTo<Refusal>(token);
+  REQUIRE(refusal);
+  CHECK(refusal->verdict == Verdict::kMayHaveRun);
+  cell.AdvanceTime(10s);
+  CHECK(cell.CountOf<OrderTask>() == 0);
+}
+
+TEST_CASE("a recorded attempt whose hold expired runs again") {
+  TaskRef task;
+  CellFixture cell = MakeNextOwner(RecordAttempt(task));
+  cell.Submit(MakeRequest("once", kNonIdempotent));
+  cell.Report(1, {MakeReportedTask(task, TaskState::kNeverStarted)});
+  cell.MakeDurable();
+  cell.AdvanceTime(1s);
+  cell.MakeDurable();
+  REQUIRE(cell.CountOf<OrderTask>() == 1);
+  CHECK(cell.EffectsOf<OrderTask>()[0].order.task.attempt == Attempt{2});
+}
+
 TEST_CASE(
     "a recorded attempt that is only held runs again when submitted again") {
   TaskRef task;
