Follow the configuration in a duty of its own and fetch changes from peers

Cause: the table returns the whole configuration with each change, and a watch each version since the last read, so an instance that is behind reads ever more; all instances read it over their own links, beside statuses, writes and relayed requests, and a peer relayed it whole. Class: the cost of one change grows with the size of all. Change: duty configuration link. jobs::ConfigurationSync decides (time passed in): an instance that reads a version within 300 ms watches the table; another leaves the watch to such peers while their heartbeats confirm its version (1.1 s), and asks one for the change to the version it holds (protocol::ConfigurationRequest/-Reply, jobs::ConfigurationChange). Without such a peer all watch the table. A watch whose response holds several versions is abandoned at its header and the newest version read. A new version is announced to peers at once. Versions only rise within a process; a change applies to its base alone. Ruled out: compressing the transfer (the table sends plain rows); a reader elected for all (a vote, and a single point of failure); pushing to all peers. The encoding of heartbeats changed: instances of the former version do not hear the new ones and read the table themselves.

--- a/packages/http/include/jasminespar/http/message.h
+++ b/packages/http/include/jasminespar/http/message.h
@@ -9,6 +9,8 @@
 #include <string_view>
 #include <vector>
 
+#include "jasminespar/core/time.h"
+
 namespace jasminespar::http {
 
 struct Header {
@@ -27,6 +29,8 @@
   int status = 200;
   std::vector<Header> headers;
   std::string body;
+  /// Of a received response: from its first bytes to its last.
+  Duration transfer{};
 };
 
 /// @return the value of the first header with that name, which is compared
--- a/packages/http/src/client.cc
+++ b/packages/http/src/client.cc
@@ -212,10 +212,12 @@
     Parser parser;
     parser.body_limit(limits.max_body_bytes);
     beast::error_code error;
+    std::optional<SteadyClock::time_point> first_bytes;
     while (!error && !parser.is_done()) {
       co_await beast::http::async_read_some(
           connection.stream, connection.buffer, parser,
           asio::redirect_error(asio::use_awaitable, error));
+      if (!first_bytes) first_bytes = SteadyClock::now();
       ExtendDeadline(connection, limits.idle);
     }
     if (error == beast::http::error::body_limit) {
@@ -224,7 +226,10 @@
     if (error) ThrowAfterSend(error.message() + ReceivedText(parser));
     connection.stream.expires_never();
     busy.reusable = parser.get().keep_alive();
-    co_return ToResponse(parser.release());
+    Response response = ToResponse(parser.release());
+    response.transfer =
+        std::chrono::duration_cast<Duration>(SteadyClock::now() - *first_bytes);
+    co_return response;
   }
 
   /// After a piece of a message was transferred.
--- a/packages/jobs/include/jasminespar/jobs/messages.h
+++ b/packages/jobs/include/jasminespar/jobs/messages.h
@@ -12,8 +12,8 @@
 
 #include "jasminespar/core/name_table.h"
 #include "jasminespar/core/time.h"
-#include "jasminespar/jobs/progress.h"
 #include "jasminespar/jobs/configuration_snapshot.h"
+#include "jasminespar/jobs/progress.h"
 #include "jasminespar/jobs/worker.h"
 
 namespace jasminespar::jobs {
--- a/packages/jobs/src/reclaim.cc
+++ b/packages/jobs/src/reclaim.cc
@@ -53,7 +53,8 @@
 bool Dispatcher::Impl::IsWithinGuarantee(const JobState& job,
                                          const StepState& step) const {
   std::int64_t guaranteed = 0;
-  for (const AccountConfiguration& account : configuration_->content().accounts) {
+  for (const AccountConfiguration& account :
+       configuration_->content().accounts) {
     if (account.name == job.job.account) {
       guaranteed = account.guaranteed_accelerators;
     }
--- a/packages/jobserver/include/jasminespar/jobserver/messages.h
+++ b/packages/jobserver/include/jasminespar/jobserver/messages.h
@@ -7,20 +7,23 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
 
 #include "jasminespar/configuration/topology.h"
+#include "jasminespar/jobs/configuration_sync.h"
 #include "jasminespar/jobs/messages.h"
 #include "jasminespar/jobs/ownership.h"
+#include "jasminespar/protocol/job_peer_message.h"
 #include "jasminespar/site/table.h"
 
 namespace jasminespar::jobserver {
 
 // ---- To the front, some of them to the dispatch duty too ----
 
-/// The table holds a newer configuration.
+/// A newer configuration, from the table or from a peer.
 struct ConfigurationUpdate {
   std::shared_ptr<const jobs::ConfigurationSnapshot> configuration;
 };
@@ -133,6 +136,27 @@
                  WriteCompleted, PeerHeartbeatReceived, ReleaseCell,
                  DispatcherSettingsChanged>;
 
+// ---- To the configuration link, from the peer link ----
+
+/// The configuration at all peers that send heartbeats.
+struct PeerConfigurations {
+  std::vector<jobs::PeerConfiguration> peers;
+};
+/// A peer asks for this instance's configuration; answered by
+/// SendConfiguration, unless the peer has that version or a newer one.
+struct PeerAsksForConfiguration {
+  std::uint64_t connection = 0;  ///< Of the peer.
+  Revision held;                 ///< By the peer.
+};
+/// A peer's answer to an AskPeerForConfiguration.
+struct PeerConfigurationReceived {
+  InstanceId peer;
+  protocol::ConfigurationReply reply;
+};
+using ToConfiguration =
+    std::variant<PeerConfigurations, PeerAsksForConfiguration,
+                 PeerConfigurationReceived>;
+
 // ---- To the store link ----
 
 /// Carries out one transaction; answered by WriteCompleted.
@@ -170,12 +194,19 @@
   bool available = false;
 };
 
+/// Outcome of a request that the configuration link sent to the table.
+struct ConfigurationReadEnded {
+  site::TableOutcome outcome;  ///< Without rows.
+  std::string error;           ///< Why the table did not serve it.
+};
+
 using FrontToStore = std::variant<WriteRows, ReadRow>;
 using DispatchToStore = std::variant<WriteRows, BeginOwnership, EndOwnership>;
+using ConfigurationToStore = std::variant<ConfigurationReadEnded>;
 using PeersToStore =
     std::variant<ServePeerRequest, RelayCompleted, RelayAvailable>;
 
-// ---- To the peer link, from the store link and the front ----
+// ---- To the peer link ----
 
 /// The peer address of an instance that serves jobs.
 struct MemberAddress {
@@ -202,9 +233,27 @@
 struct OwnUnsettledSubmissions {
   std::vector<jobs::JobId> jobs;
 };
+/// What heartbeats are to say of this instance's configuration.
+struct OwnConfiguration {
+  Revision version;
+  std::optional<TimePoint> confirmed_at;  ///< See jobs::PeerConfiguration.
+  bool watches_table = false;
+};
+/// Asks a peer for its configuration; answered by PeerConfigurationReceived, if
+/// at all.
+struct AskPeerForConfiguration {
+  InstanceId peer;
+  Revision held;
+};
+/// Answers a PeerAsksForConfiguration.
+struct SendConfiguration {
+  std::uint64_t connection = 0;
+  std::shared_ptr<const std::string> message;  ///< Encoded.
+};
 using ToPeers =
     std::variant<MemberAddress, TableDirectlyReachable, SendRelayRequest,
-                 PeerRequestServed, OwnUnsettledSubmissions>;
+                 PeerRequestServed, OwnUnsettledSubmissions, OwnConfiguration,
+                 AskPeerForConfiguration, SendConfiguration>;
 
 // ---- To the worker link ----
 
--- a/packages/jobserver/include/jasminespar/jobserver/peer_link.h
+++ b/packages/jobserver/include/jasminespar/jobserver/peer_link.h
@@ -1,6 +1,7 @@
 /// @file
-/// Duty peer link: heartbeats among the instances that serve jobs (UDP), and
-/// requests to the table relayed for instances that cannot reach it (TCP).
+/// Duty peer link: heartbeats among the instances that serve jobs (UDP),
+/// requests to the table relayed for instances that cannot reach it, and
+/// changes of the configuration (TCP).
 
 #ifndef JASMINESPAR_JOBSERVER_PEER_LINK_H_
 #define JASMINESPAR_JOBSERVER_PEER_LINK_H_
@@ -20,7 +21,7 @@
 #include "jasminespar/jobserver/event_log.h"
 #include "jasminespar/jobserver/messages.h"
 #include "jasminespar/peers/frame_connection.h"
-#include "jasminespar/protocol/relay_message.h"
+#include "jasminespar/protocol/job_peer_message.h"
 #include "jasminespar/runtime/duty.h"
 #include "jasminespar/telemetry/metrics.h"
 
@@ -33,6 +34,7 @@
     runtime::Channel<PeersToStore>& store;
     runtime::Channel<ToDispatch>& dispatch;
     runtime::Channel<ToFront>& front;
+    runtime::Channel<ToConfiguration>& configuration;
     runtime::Channel<ToTelemetry>& telemetry;
   };
 
@@ -54,6 +56,7 @@
     bool heartbeat_received = false;
     bool table_directly_reachable = false;  ///< From its last heartbeat.
     bool has_unsettled = false;             ///< From its last heartbeat.
+    jobs::PeerConfiguration configuration;  ///< From its last heartbeat.
     Connection connection;  ///< For requests from this instance.
     std::set<std::uint64_t> pending_requests;  ///< Without a reply.
   };
@@ -63,6 +66,9 @@
   void On(SendRelayRequest& request);
   void On(PeerRequestServed& served);
   void On(OwnUnsettledSubmissions& unsettled);
+  void On(const OwnConfiguration& own);
+  void On(const AskPeerForConfiguration& ask);
+  void On(const SendConfiguration& send);
 
   void ScheduleHeartbeat();
   void SendHeartbeats();
@@ -77,12 +83,17 @@
   [[nodiscard]] bool CanRelay(const Peer& peer, TimePoint now) const;
   void NotifyAvailability();
   void NotifyUnsettled(Peer& peer, protocol::PeerHeartbeat& heartbeat);
+  void RecordConfiguration(Peer& peer, const protocol::PeerHeartbeat& heartbeat,
+                           TimePoint now);
+  void NotifyConfigurations(TimePoint now);
+  /// Opens a connection if there is none.
+  [[nodiscard]] Connection ConnectionTo(const InstanceId& instance, Peer& peer);
   [[nodiscard]] Connection MakeConnection(
       std::function<bool(std::uint64_t, std::string)> on_frame,
       std::function<void(std::uint64_t)> on_closed);
   [[nodiscard]] Connection Connect(const InstanceId& instance, Peer& peer);
   /// @return false to close the connection.
-  bool HandleReply(const std::string& body);
+  bool HandleReply(const InstanceId& peer, const std::string& body);
   /// @return false to close the connection.
   bool HandleRequest(std::uint64_t connection, const std::string& body);
   void FailPendingRequests(Peer& peer);
@@ -102,6 +113,8 @@
   InstanceId last_relay_;
   std::vector<jobs::JobId> unsettled_;  ///< Sent to peers with each heartbeat.
   TimePoint unsettled_at_;
+  OwnConfiguration own_configuration_;
+  Revision newest_at_peers_;  ///< Configuration.
   bool table_directly_reachable_ = false;
   bool relay_available_ = false;
   boost::asio::ip::udp::endpoint sender_;
--- a/packages/jobserver/include/jasminespar/jobserver/store_link.h
+++ b/packages/jobserver/include/jasminespar/jobserver/store_link.h
@@ -47,6 +47,7 @@
   void HandleFront(FrontToStore message);
   void HandleDispatch(DispatchToStore message);
   void HandlePeers(PeersToStore message);
+  void HandleConfiguration(ConfigurationToStore message);
 
  private:
   using Coroutine = boost::asio::awaitable<void>;
@@ -76,7 +77,6 @@
   boost::asio::awaitable<std::optional<site::RowPage>> ReadPartitions(
       std::string table, std::vector<std::string> partitions);
 
-  void WatchConfiguration();
   void WatchStatuses();
   void WatchOwner();
   void WatchMembers();
@@ -94,7 +94,6 @@
   boost::asio::awaitable<site::TableOutcome> SendThroughPeer(
       site::TableRequest request);
 
-  void HandleConfigurationRow(const site::Row& row);
   void HandleStatusRow(const site::Row& row);
   void HandleOwnerRow(const site::Row& row);
   void HandleMemberRow(const site::Row& row);
@@ -116,7 +115,6 @@
   site::TableClient client_;
   /// Epoch under which this instance owns the cell.
   std::optional<Epoch> owned_epoch_;
-  std::uint64_t configuration_version_ = 0;
   std::set<std::string> listed_workers_;
   std::set<std::string> members_;    ///< Instances that the table lists.
   std::set<std::string> cancelled_;  ///< Jobs with a cancellation row.
--- a/packages/jobserver/src/job_server.cc
+++ b/packages/jobserver/src/job_server.cc
@@ -9,6 +9,7 @@
 #include <sstream>
 #include <utility>
 
+#include "jasminespar/jobserver/configuration_link.h"
 #include "jasminespar/jobserver/dispatch_duty.h"
 #include "jasminespar/jobserver/job_front.h"
 #include "jasminespar/jobserver/peer_link.h"
@@ -109,8 +110,16 @@
                  metrics_),
         peers_(peer_duty_, settings.instance, settings.peer_address,
                {rings_.peers_to_store, rings_.peers_to_dispatch,
-                rings_.peers_to_front, rings_.peers_to_telemetry},
+                rings_.peers_to_front, rings_.peers_to_configuration,
+                rings_.peers_to_telemetry},
                metrics_),
+        configuration_(
+            configuration_duty_, settings.table_address, settings.instance,
+            codec,
+            {rings_.configuration_to_front, rings_.configuration_to_dispatch,
+             rings_.configuration_to_store, rings_.configuration_to_peers,
+             rings_.configuration_to_telemetry},
+            metrics_),
         telemetry_(telemetry_duty_, settings.metrics_address, metrics_) {
     JoinRings();
   }
@@ -148,7 +157,13 @@
           peers_to_store(capacity),
           peers_to_dispatch(capacity),
           peers_to_front(capacity),
+          peers_to_configuration(capacity),
           peers_to_telemetry(capacity),
+          configuration_to_front(capacity),
+          configuration_to_dispatch(capacity),
+          configuration_to_store(capacity),
+          configuration_to_peers(capacity),
+          configuration_to_telemetry(capacity),
           dispatch_to_store(capacity),
           dispatch_to_workers(capacity),
           dispatch_to_telemetry(capacity),
@@ -166,7 +181,13 @@
     Channel<PeersToStore> peers_to_store;
     Channel<ToDispatch> peers_to_dispatch;
     Channel<ToFront> peers_to_front;
+    Channel<ToConfiguration> peers_to_configuration;
     Channel<ToTelemetry> peers_to_telemetry;
+    Channel<ToFront> configuration_to_front;
+    Channel<ToDispatch> configuration_to_dispatch;
+    Channel<ConfigurationToStore> configuration_to_store;
+    Channel<ToPeers> configuration_to_peers;
+    Channel<ToTelemetry> configuration_to_telemetry;
     Channel<DispatchToStore> dispatch_to_store;
     Channel<ToWorkers> dispatch_to_workers;
     Channel<ToTelemetry> dispatch_to_telemetry;
@@ -189,6 +210,20 @@
                            [this](PeersToStore&& message) {
                              store_.HandlePeers(std::move(message));
                            });
+    runtime::ConnectDuties(rings_.configuration_to_store, configuration_duty_,
+                           store_duty_, [this](ConfigurationToStore&& message) {
+                             store_.HandleConfiguration(std::move(message));
+                           });
+    ConnectConsumer(rings_.configuration_to_front, configuration_duty_,
+                    front_duty_, front_);
+    ConnectConsumer(rings_.configuration_to_dispatch, configuration_duty_,
+                    dispatch_duty_, dispatch_);
+    ConnectConsumer(rings_.configuration_to_peers, configuration_duty_,
+                    peer_duty_, peers_);
+    ConnectConsumer(rings_.configuration_to_telemetry, configuration_duty_,
+                    telemetry_duty_, telemetry_);
+    ConnectConsumer(rings_.peers_to_configuration, peer_duty_,
+                    configuration_duty_, configuration_);
     ConnectConsumer(rings_.store_to_peers, store_duty_, peer_duty_, peers_);
     ConnectConsumer(rings_.front_to_peers, front_duty_, peer_duty_, peers_);
     ConnectConsumer(rings_.peers_to_front, peer_duty_, front_duty_, front_);
@@ -222,6 +257,8 @@
     asio::post(store_duty_.context(), [this] { store_.Start(); });
     asio::post(dispatch_duty_.context(), [this] { dispatch_.Start(); });
     asio::post(peer_duty_.context(), [this] { peers_.Start(); });
+    asio::post(configuration_duty_.context(),
+               [this] { configuration_.Start(); });
     asio::post(telemetry_duty_.context(), [this] { telemetry_.Start(); });
     for (Duty* duty : duties_) duty->Start();
   }
@@ -308,13 +345,16 @@
   Duty worker_duty_{"worker_link"};
   Duty peer_duty_{"peer_link"};
   Duty telemetry_duty_{"telemetry"};
-  std::array<Duty*, 6> duties_{&front_duty_,  &store_duty_, &dispatch_duty_,
-                               &worker_duty_, &peer_duty_,  &telemetry_duty_};
+  Duty configuration_duty_{"config_link"};
+  std::array<Duty*, 7> duties_{
+      &front_duty_, &store_duty_,         &dispatch_duty_, &worker_duty_,
+      &peer_duty_,  &configuration_duty_, &telemetry_duty_};
   JobFront front_;
   StoreLink store_;
   DispatchDuty dispatch_;
   WorkerLink workers_;
   PeerLink peers_;
+  ConfigurationLink configuration_;
   TelemetryWriter telemetry_;
   TimePoint earliest_exit_;
   TimePoint latest_exit_;
--- a/packages/jobserver/src/peer_link.cc
+++ b/packages/jobserver/src/peer_link.cc
@@ -1,5 +1,6 @@
 #include "jasminespar/jobserver/peer_link.h"
 
+#include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -76,7 +77,7 @@
   Peer* peer = ChooseRelay();
   const std::uint64_t number = request.number;
   if (peer != nullptr) {
-    const protocol::RelayMessage message =
+    const protocol::JobPeerMessage message =
         protocol::RelayRequest{number, std::move(request.request)};
     if (peer->connection->Send(protocol::Encode(message))) {
       peer->pending_requests.insert(number);
@@ -89,7 +90,7 @@
 void PeerLink::On(PeerRequestServed& served) {
   const auto found = inbound_.find(served.connection);
   if (found == inbound_.end()) return;  // The peer has closed its connection.
-  const protocol::RelayMessage reply =
+  const protocol::JobPeerMessage reply =
       protocol::RelayReply{served.number, std::move(served.outcome)};
   if (!found->second->Send(protocol::Encode(reply))) found->second->Close();
 }
@@ -99,6 +100,28 @@
   unsettled_at_ = runtime::SteadyNow();
 }
 
+void PeerLink::On(const OwnConfiguration& own) {
+  const bool newer = own.version > own_configuration_.version;
+  own_configuration_ = own;
+  // Peers that wait for this version learn of it at once.
+  if (newer) SendHeartbeats();
+}
+
+void PeerLink::On(const AskPeerForConfiguration& ask) {
+  const auto found = peers_.find(ask.peer);
+  if (found == peers_.end()) return;
+  const protocol::JobPeerMessage message =
+      protocol::ConfigurationRequest{ask.held};
+  const Connection connection = ConnectionTo(found->first, found->second);
+  if (!connection->Send(protocol::Encode(message))) connection->Close();
+}
+
+void PeerLink::On(const SendConfiguration& send) {
+  const auto found = inbound_.find(send.connection);
+  if (found == inbound_.end()) return;  // The peer has closed its connection.
+  if (!found->second->Send(*send.message)) found->second->Close();
+}
+
 void PeerLink::ScheduleHeartbeat() {
   heartbeat_timer_.expires_after(kHeartbeatInterval);
   heartbeat_timer_.async_wait([this](const boost::system::error_code& error) {
@@ -109,12 +132,23 @@
 }
 
 void PeerLink::SendHeartbeats() {
-  const Duration age = runtime::SteadyNow() - unsettled_at_;
+  const TimePoint now = runtime::SteadyNow();
+  const Duration age = now - unsettled_at_;
   if (age >= jobs::UnsettledSubmissions::kLateWriteTimeout) unsettled_.clear();
-  const std::string datagram = protocol::Encode(protocol::PeerHeartbeat{
-      self_, address_, table_directly_reachable_, unsettled_});
+  protocol::PeerHeartbeat heartbeat;
+  heartbeat.instance = self_;
+  heartbeat.address = address_;
+  heartbeat.table_reached = table_directly_reachable_;
+  heartbeat.unsettled = unsettled_;
+  heartbeat.configuration = own_configuration_.version;
+  heartbeat.watches_configuration = own_configuration_.watches_table;
+  if (own_configuration_.confirmed_at) {
+    heartbeat.configuration_age = now - *own_configuration_.confirmed_at;
+  }
+  const std::string datagram = protocol::Encode(heartbeat);
   for (const auto& [instance, peer] : peers_) Send(peer.address, datagram);
   NotifyAvailability();
+  NotifyConfigurations(now);
 }
 
 void PeerLink::Send(const configuration::Address& address,
@@ -159,6 +193,7 @@
   peer.heartbeat_received = true;
   peer.last_heartbeat_at = now;
   peer.table_directly_reachable = heartbeat.table_reached;
+  RecordConfiguration(peer, heartbeat, now);
   NotifyUnsettled(peer, heartbeat);
   rings_.dispatch.Send(PeerHeartbeatReceived{heartbeat.instance});
   NotifyAvailability();
@@ -172,6 +207,33 @@
                                              std::move(heartbeat.unsettled)});
 }
 
+void PeerLink::RecordConfiguration(Peer& peer,
+                                   const protocol::PeerHeartbeat& heartbeat,
+                                   TimePoint now) {
+  jobs::PeerConfiguration& known = peer.configuration;
+  known.instance = heartbeat.instance;
+  known.version = heartbeat.configuration;
+  known.watches_table = heartbeat.watches_configuration;
+  known.confirmed_at.reset();
+  if (heartbeat.configuration_age >= Duration{}) {
+    known.confirmed_at = now - heartbeat.configuration_age;
+  }
+  // The other news of the peers waits for this instance's own heartbeat.
+  if (known.version > newest_at_peers_) NotifyConfigurations(now);
+}
+
+void PeerLink::NotifyConfigurations(TimePoint now) {
+  PeerConfigurations all;
+  newest_at_peers_ = {};
+  for (const auto& [instance, peer] : peers_) {
+    if (!peer.heartbeat_received) continue;
+    if (now - peer.last_heartbeat_at > kSuspectTimeout) continue;
+    newest_at_peers_ = std::max(newest_at_peers_, peer.configuration.version);
+    all.peers.push_back(peer.configuration);
+  }
+  rings_.configuration.Send(std::move(all));
+}
+
 asio::awaitable<void> PeerLink::Accept() {
   while (acceptor_.is_open()) {
     boost::system::error_code error;
@@ -204,16 +266,21 @@
   for (std::size_t tried = 0; tried < peers_.size(); ++tried, ++next) {
     if (next == peers_.end()) next = peers_.begin();
     if (!CanRelay(next->second, now)) continue;
-    Peer& peer = next->second;
-    if (peer.connection == nullptr || peer.connection->closed()) {
-      peer.connection = Connect(next->first, peer);
-    }
+    static_cast<void>(ConnectionTo(next->first, next->second));
     last_relay_ = next->first;
-    return &peer;
+    return &next->second;
   }
   return nullptr;
 }
 
+PeerLink::Connection PeerLink::ConnectionTo(const InstanceId& instance,
+                                            Peer& peer) {
+  if (peer.connection == nullptr || peer.connection->closed()) {
+    peer.connection = Connect(instance, peer);
+  }
+  return peer.connection;
+}
+
 void PeerLink::NotifyAvailability() {
   const TimePoint now = runtime::SteadyNow();
   bool available = false;
@@ -235,8 +302,8 @@
 
 PeerLink::Connection PeerLink::Connect(const InstanceId& instance, Peer& peer) {
   Connection connection = MakeConnection(
-      [this](std::uint64_t, const std::string& body) {
-        return HandleReply(body);
+      [this, instance](std::uint64_t, const std::string& body) {
+        return HandleReply(instance, body);
       },
       [this, instance](std::uint64_t number) {
         Peer& closed = peers_[instance];
@@ -248,16 +315,26 @@
   return connection;
 }
 
-bool PeerLink::HandleReply(const std::string& body) {
+bool PeerLink::HandleReply(const InstanceId& peer, const std::string& body) {
   try {
-    protocol::RelayMessage message = protocol::DecodeRelayMessage(body);
-    auto* reply = std::get_if<protocol::RelayReply>(&message);
-    if (reply == nullptr) return false;
-    for (auto& [instance, peer] : peers_) {
-      peer.pending_requests.erase(reply->number);
-    }
-    rings_.store.Send(RelayCompleted{reply->number, std::move(reply->outcome)});
-    return true;
+    protocol::JobPeerMessage message = protocol::DecodeJobPeerMessage(body);
+    return std::visit(Overloaded{
+                          [this](protocol::RelayReply& reply) {
+                            for (auto& [instance, other] : peers_) {
+                              other.pending_requests.erase(reply.number);
+                            }
+                            rings_.store.Send(RelayCompleted{
+                                reply.number, std::move(reply.outcome)});
+                            return true;
+                          },
+                          [this, &peer](protocol::ConfigurationReply& reply) {
+                            rings_.configuration.Send(PeerConfigurationReceived{
+                                peer, std::move(reply)});
+                            return true;
+                          },
+                          [](const auto& /*request*/) { return false; },
+                      },
+                      message);
   } catch (const Error&) {
     return false;  // Not a peer, or one with another protocol version.
   }
@@ -266,12 +343,22 @@
 bool PeerLink::HandleRequest(std::uint64_t connection,
                              const std::string& body) {
   try {
-    protocol::RelayMessage message = protocol::DecodeRelayMessage(body);
-    auto* request = std::get_if<protocol::RelayRequest>(&message);
-    if (request == nullptr) return false;
-    rings_.store.Send(ServePeerRequest{connection, request->number,
-                                       std::move(request->request)});
-    return true;
+    protocol::JobPeerMessage message = protocol::DecodeJobPeerMessage(body);
+    return std::visit(
+        Overloaded{
+            [this, connection](protocol::RelayRequest& request) {
+              rings_.store.Send(ServePeerRequest{connection, request.number,
+                                                 std::move(request.request)});
+              return true;
+            },
+            [this, connection](const protocol::ConfigurationRequest& request) {
+              rings_.configuration.Send(
+                  PeerAsksForConfiguration{connection, request.held});
+              return true;
+            },
+            [](const auto& /*reply*/) { return false; },
+        },
+        message);
   } catch (const Error&) {
     return false;  // Not a peer, or one with another protocol version.
   }
--- a/packages/jobserver/src/store_link.cc
+++ b/packages/jobserver/src/store_link.cc
@@ -6,7 +6,7 @@
 
 #include "jasminespar/core/overloaded.h"
 #include "jasminespar/jobserver/table_layout.h"
-#include "jasminespar/protocol/relay_message.h"
+#include "jasminespar/protocol/job_peer_message.h"
 #include "jasminespar/runtime/clock.h"
 #include "jasminespar/runtime/sleep.h"
 
@@ -52,7 +52,6 @@
 
 void StoreLink::Start() {
   unreachable_since_ = runtime::SteadyNow();
-  WatchConfiguration();
   WatchStatuses();
   WatchOwner();
   WatchMembers();
@@ -90,6 +89,13 @@
       message);
 }
 
+void StoreLink::HandleConfiguration(ConfigurationToStore message) {
+  std::visit(Overloaded{[this](ConfigurationReadEnded& read) {
+               client_.RecordDirectOutcome(read.outcome, read.error);
+             }},
+             message);
+}
+
 void StoreLink::HandlePeers(PeersToStore message) {
   std::visit(Overloaded{
                  [this](ServePeerRequest& serve) {
--- a/packages/jobserver/src/store_watches.cc
+++ b/packages/jobserver/src/store_watches.cc
@@ -16,9 +16,8 @@
 #include "jasminespar/core/error.h"
 #include "jasminespar/jobserver/store_link.h"
 #include "jasminespar/jobserver/table_layout.h"
+#include "jasminespar/protocol/job_peer_message.h"
 #include "jasminespar/protocol/job_records.h"
-#include "jasminespar/protocol/relay_message.h"
-#include "jasminespar/runtime/clock.h"
 #include "jasminespar/runtime/sleep.h"
 
 namespace jasminespar::jobserver {
@@ -33,11 +32,6 @@
 constexpr Duration kMemberTimeout = 10s;
 constexpr Duration kMemberInterval = 1s;
 
-constexpr Duration kConfigurationInterval = 50ms;
-
-/// Shortest wait of all watches, so this watch is also the first to notice that
-/// a path to the table is cut.
-constexpr Duration kConfigurationTimeout = 500ms;
 constexpr Duration kStatusInterval = 60ms;
 
 /// All instances watch the statuses, which change constantly: the more
@@ -140,17 +134,6 @@
   }
 }
 
-void StoreLink::WatchConfiguration() {
-  TableWatch watch;
-  watch.table = std::string(codec_.operators.configuration_table);
-  watch.partitions = {codec_.operators.configuration_row.partition};
-  watch.interval = [] { return kConfigurationInterval; };
-  watch.timeout = kConfigurationTimeout;
-  watch.on_row = [this](const site::Row& row) { HandleConfigurationRow(row); };
-  watch.active = [] { return true; };
-  asio::co_spawn(duty_.context(), WatchTable(std::move(watch)), asio::detached);
-}
-
 void StoreLink::WatchStatuses() {
   TableWatch watch;
   watch.table = std::string(kStatusTable);
@@ -270,31 +253,6 @@
   asio::co_spawn(duty_.context(), WatchTable(std::move(watch)), asio::detached);
 }
 
-void StoreLink::HandleConfigurationRow(const site::Row& row) {
-  if (row.key != codec_.operators.configuration_row || row.deleted) return;
-  const TimePoint begun = runtime::SteadyNow();
-  auto decoded = codec_.operators.decode_configuration(row.value);
-  if (const auto* error = std::get_if<site::DecodeError>(&decoded)) {
-    LogUnreadableRow(row, error->message);
-    return;
-  }
-  auto& configuration = std::get<jobs::SiteConfiguration>(decoded);
-  if (configuration.version.value <= configuration_version_) return;
-  configuration_version_ = configuration.version.value;
-  log_.Log(Event::kRevisionApplied,
-           {{"version", configuration_version_},
-            {"queues", configuration.queues.size()},
-            {"accounts", configuration.accounts.size()},
-            {"row", row.version.value},
-            {"bytes", row.value.size()},
-            {"decode_ms", ToMilliseconds(runtime::SteadyNow() - begun)}});
-  metrics_.Count(telemetry::Counter::kRevisionsApplied);
-  const auto shared = std::make_shared<const jobs::ConfigurationSnapshot>(
-      std::move(configuration));
-  rings_.front.Send(ConfigurationUpdate{shared});
-  rings_.dispatch.Send(ConfigurationUpdate{shared});
-}
-
 void StoreLink::HandleStatusRow(const site::Row& row) {
   if (row.key.key.starts_with(kCancellationPrefix)) {
     const std::string job = row.key.key.substr(kCancellationPrefix.size());
--- a/packages/protocol/src/job_peer_message.cc
+++ b/packages/protocol/src/job_peer_message.cc
@@ -1,9 +1,35 @@
-#include "jasminespar/protocol/relay_message.h"
+#include "jasminespar/protocol/job_peer_message.h"
+
+#include <cereal/types/set.hpp>
 
 #include "encode_value.h"
 #include "serialization.h"
 
 namespace jasminespar {
+namespace jobs {
+
+template <typename Archive>
+void serialize(Archive& archive, QueueRoute& route) {
+  archive(route.name, route.host, route.prefix);
+}
+template <typename Archive>
+void serialize(Archive& archive, QueueConfiguration& queue) {
+  archive(queue.name, queue.host, queue.prefix, queue.service, queue.is_public,
+          queue.priority, queue.max_attempts, queue.slack_factor,
+          queue.target_runtime);
+}
+template <typename Archive>
+void serialize(Archive& archive, AccountConfiguration& account) {
+  archive(account.name, account.keys, account.guaranteed_accelerators);
+}
+template <typename Archive>
+void serialize(Archive& archive, ConfigurationChange& change) {
+  archive(change.base, change.version, change.removed_queues, change.queues,
+          change.removed_accounts, change.accounts, change.max_body_bytes);
+}
+
+}  // namespace jobs
+
 namespace site {
 
 template <typename Archive>
@@ -62,7 +88,8 @@
 template <typename Archive>
 void serialize(Archive& archive, PeerHeartbeat& heartbeat) {
   archive(heartbeat.instance, heartbeat.address, heartbeat.table_reached,
-          heartbeat.unsettled);
+          heartbeat.unsettled, heartbeat.configuration,
+          heartbeat.configuration_age, heartbeat.watches_configuration);
 }
 template <typename Archive>
 void serialize(Archive& archive, MemberRow& row) {
@@ -77,6 +104,15 @@
   archive(message.number, message.outcome);
 }
 
+template <typename Archive>
+void serialize(Archive& archive, ConfigurationRequest& message) {
+  archive(message.held);
+}
+template <typename Archive>
+void serialize(Archive& archive, ConfigurationReply& message) {
+  archive(message.change, message.row);
+}
+
 std::string Encode(const PeerHeartbeat& heartbeat) {
   return EncodeValue(heartbeat);
 }
@@ -89,9 +125,11 @@
   return DecodeValue<MemberRow>(bytes);
 }
 
-std::string Encode(const RelayMessage& message) { return EncodeValue(message); }
-RelayMessage DecodeRelayMessage(std::string_view bytes) {
-  return DecodeValue<RelayMessage>(bytes);
+std::string Encode(const JobPeerMessage& message) {
+  return EncodeValue(message);
+}
+JobPeerMessage DecodeJobPeerMessage(std::string_view bytes) {
+  return DecodeValue<JobPeerMessage>(bytes);
 }
 
 }  // namespace protocol
--- a/packages/site/include/jasminespar/site/table_client.h
+++ b/packages/site/include/jasminespar/site/table_client.h
@@ -12,8 +12,8 @@
 
 #include "jasminespar/configuration/topology.h"
 #include "jasminespar/core/time.h"
-#include "jasminespar/http/client.h"
 #include "jasminespar/site/codec.h"
+#include "jasminespar/site/table_exchange.h"
 #include "jasminespar/site/table_path.h"
 
 namespace jasminespar::site {
@@ -23,9 +23,9 @@
   /// From a read to the first byte of its response. A healthy table answers
   /// within some tens of milliseconds, a slow one within a few hundred.
   Duration read_timeout = 700ms;
-  /// From a transaction to the first byte of its response. In a slow table, transactions of one
-  /// partition wait for each other for up to a second; retries sent earlier
-  /// only lengthen that wait.
+  /// From a transaction to the first byte of its response. In a slow table,
+  /// transactions of one partition wait for each other for up to a second;
+  /// retries sent earlier only lengthen that wait.
   Duration write_timeout = 1000ms;
   /// Longest pause within a message. However long a message is, it is not
   /// abandoned while its transfer goes on.
@@ -77,6 +77,11 @@
   [[nodiscard]] boost::asio::awaitable<TableOutcome> SendDirect(
       TableRequest request);
 
+  /// Records a direct attempt that was made elsewhere in this process.
+  /// @param error why the table did not serve it.
+  void RecordDirectOutcome(const TableOutcome& outcome,
+                           const std::string& error);
+
   /// @return whether the table is reachable, directly or through a peer.
   [[nodiscard]] bool reachable() const;
 
@@ -93,12 +98,11 @@
  private:
   boost::asio::io_context& context_;
   TableClientSettings settings_;
-  TableCodec codec_;
   Callbacks callbacks_;
   TablePathChooser path_;
   std::string last_error_;
-  http::Client client_;
-  http::Client watch_client_;
+  TableExchange requests_;
+  TableExchange watches_;
 };
 
 }  // namespace jasminespar::site
--- a/packages/site/src/table_client.cc
+++ b/packages/site/src/table_client.cc
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <utility>
 
-#include "jasminespar/core/error.h"
 #include "jasminespar/core/overloaded.h"
 #include "jasminespar/runtime/clock.h"
 #include "jasminespar/runtime/sleep.h"
@@ -27,16 +26,13 @@
                          const TableCodec& codec, Callbacks callbacks)
     : context_(context),
       settings_(settings),
-      codec_(codec),
       callbacks_(std::move(callbacks)),
-      client_(context, settings.address.host, settings.address.port,
-              settings.max_connections),
-      watch_client_(context, settings.address.host, settings.address.port,
-                    kMaxWatches) {}
+      requests_(context, settings.address, codec, settings.max_connections),
+      watches_(context, settings.address, codec, kMaxWatches) {}
 
 asio::awaitable<TableOutcome> TableClient::SendDirect(TableRequest request) {
   const bool is_watch = std::holds_alternative<Watch>(request);
-  http::Client& client = is_watch ? watch_client_ : client_;
+  TableExchange& exchange = is_watch ? watches_ : requests_;
   http::ExchangeLimits limits;
   limits.idle = settings_.idle_timeout;
   limits.response = std::visit(
@@ -46,23 +42,17 @@
           [this](const Transaction&) { return settings_.write_timeout; },
       },
       request);
-  http::Request encoded = codec_.encode(request);
-  TableOutcome outcome = NoAnswer{};
-  try {
-    const http::Response response =
-        co_await client.Send(std::move(encoded), limits);
-    outcome = codec_.decode(request, response);
-    if (!IsServed(outcome)) {
-      last_error_ = "status " + std::to_string(response.status);
-    }
-  } catch (const Error& error) {
-    // `on_outcome` counts the failure and logs changes with this text.
-    last_error_ = error.what();
-    if (error.verdict() == Verdict::kNotRun) outcome = Refused{};
-  }
+  TableAnswer answer = co_await exchange.Send(std::move(request), limits);
+  RecordDirectOutcome(answer.outcome, answer.error);
+  co_return std::move(answer.outcome);
+}
+
+void TableClient::RecordDirectOutcome(const TableOutcome& outcome,
+                                      const std::string& error) {
+  // `on_outcome` counts the failure and logs changes with this text.
+  if (!IsServed(outcome)) last_error_ = error;
   path_.RecordDirectOutcome(outcome, runtime::SteadyNow());
   callbacks_.on_outcome(TablePath::kDirect, outcome);
-  co_return outcome;
 }
 
 bool TableClient::reachable() const {
--- a/packages/standins/include/jasminespar/standins/watched_table_service.h
+++ b/packages/standins/include/jasminespar/standins/watched_table_service.h
@@ -37,12 +37,6 @@
   /// Forgets all changes so far.
   void DropHistory() { table_.DropHistory(); }
 
-  /// While enabled, every request is refused.
-  void RefuseRequests(bool enabled) { refuses_ = enabled; }
-
-  /// @return how many requests were received.
-  [[nodiscard]] std::uint64_t requests() const noexcept { return requests_; }
-
  private:
   boost::asio::awaitable<http::Response> Serve(http::Request request);
   /// @return the outcome, for a watch after a change or its longest wait.
@@ -54,8 +48,6 @@
   http::Server server_;
   /// Of the watches that wait for a change, which cancels them.
   std::vector<std::shared_ptr<boost::asio::steady_timer>> watches_;
-  std::uint64_t requests_ = 0;
-  bool refuses_ = false;
 };
 
 }  // namespace jasminespar::standins
--- a/packages/standins/src/watched_table_service.cc
+++ b/packages/standins/src/watched_table_service.cc
@@ -7,7 +7,7 @@
 #include <utility>
 
 #include "jasminespar/core/error.h"
-#include "jasminespar/protocol/relay_message.h"
+#include "jasminespar/protocol/job_peer_message.h"
 #include "jasminespar/runtime/clock.h"
 
 namespace jasminespar::standins {
@@ -17,13 +17,12 @@
 namespace {
 
 constexpr int kOk = 200;
-constexpr int kUnavailable = 503;
 
 http::Request EncodeRequest(const site::TableRequest& request) {
   http::Request encoded;
   encoded.method = "POST";
   encoded.body = protocol::Encode(
-      protocol::RelayMessage(protocol::RelayRequest{0, request}));
+      protocol::JobPeerMessage(protocol::RelayRequest{0, request}));
   return encoded;
 }
 
@@ -31,8 +30,8 @@
                                   const http::Response& response) {
   if (response.status != kOk) return site::Refused{response.status};
   try {
-    protocol::RelayMessage message =
-        protocol::DecodeRelayMessage(response.body);
+    protocol::JobPeerMessage message =
+        protocol::DecodeJobPeerMessage(response.body);
     return std::get<protocol::RelayReply>(std::move(message)).outcome;
   } catch (const Error&) {
     return site::NoAnswer{};
@@ -73,17 +72,13 @@
 
 asio::awaitable<http::Response> WatchedTableService::Serve(
     http::Request request) {
-  ++requests_;
-  http::Response response;
-  if (refuses_) {
-    response.status = kUnavailable;
-    co_return response;
-  }
-  protocol::RelayMessage message = protocol::DecodeRelayMessage(request.body);
+  protocol::JobPeerMessage message =
+      protocol::DecodeJobPeerMessage(request.body);
   auto& relayed = std::get<protocol::RelayRequest>(message);
   protocol::RelayReply reply;
   reply.outcome = co_await Handle(std::move(relayed.request));
-  response.body = protocol::Encode(protocol::RelayMessage(std::move(reply)));
+  http::Response response;
+  response.body = protocol::Encode(protocol::JobPeerMessage(std::move(reply)));
   co_return response;
 }
 
--- a/packages/telemetry/include/jasminespar/telemetry/metric_names.h
+++ b/packages/telemetry/include/jasminespar/telemetry/metric_names.h
@@ -47,9 +47,10 @@
   kRevisionsApplied,
   kRevisionsIgnored,
   kRingCongestions,
+  kConfigurationsFromPeers,
 };
 
-inline constexpr NameTable<Counter, 33> kCounterNames{{
+inline constexpr NameTable<Counter, 34> kCounterNames{{
     {Counter::kCallsAccepted, "calls_accepted",
      "Calls taken in by a cell owned here."},
     {Counter::kCallsAnswered, "calls_answered",
@@ -111,9 +112,11 @@
      "Revisions that were not higher and were ignored."},
     {Counter::kRingCongestions, "ring_congestions",
      "Times that a ring was found full."},
+    {Counter::kConfigurationsFromPeers, "configurations_from_peers",
+     "Configurations that came into force here from a peer."},
 }};
 static_assert(IsDense(kCounterNames));
-static_assert(static_cast<std::size_t>(Counter::kRingCongestions) + 1 ==
+static_assert(static_cast<std::size_t>(Counter::kConfigurationsFromPeers) + 1 ==
               kCounterNames.size());
 
 /// Current values, exported as jasminespar_{name}.
@@ -180,9 +183,10 @@
   kTakeover,
   kReclaim,
   kConfigurationSpread,
+  kConfigurationRead,
 };
 
-inline constexpr NameTable<Timing, 10> kTimingNames{{
+inline constexpr NameTable<Timing, 11> kTimingNames{{
     {Timing::kCallDuration, "call_duration", "From arrival to outcome."},
     {Timing::kQueueWait, "queue_wait",
      "From arrival to the start of the gang."},
@@ -199,9 +203,11 @@
      "From the call of a guarantee to free accelerators."},
     {Timing::kConfigurationSpread, "configuration_spread",
      "From a note's acceptance to its revision in force here."},
+    {Timing::kConfigurationRead, "configuration_read",
+     "Transfer and decoding of a configuration from the table."},
 }};
 static_assert(IsDense(kTimingNames));
-static_assert(static_cast<std::size_t>(Timing::kConfigurationSpread) + 1 ==
+static_assert(static_cast<std::size_t>(Timing::kConfigurationRead) + 1 ==
               kTimingNames.size());
 
 }  // namespace jasminespar::telemetry
--- a/tests/jobserver/configuration_transfer_test.cc
+++ b/tests/jobserver/configuration_transfer_test.cc
@@ -1,6 +1,7 @@
 // Configurations that take long to transfer, as seen by callers.
 #include <catch2/catch.hpp>
 #include <chrono>
+#include <string>
 #include <thread>
 
 #include "jobserver/job_site.h"
@@ -45,5 +46,55 @@
   CHECK(site.StatusOf(0, "queue-1999") == 200);
 }
 
+/// Two instances, the second with a slow link, and a large configuration in
+/// force at both.
+struct UnequalSite : JobSite {
+  UnequalSite() : JobSite(2) {
+    SetTableLink(1, SlowLink());
+    PutConfiguration({1, kManyQueues, kPadding});
+    StartInstance(0);
+    StartInstance(1);
+    REQUIRE(WaitUntilServed(0, "queue-1999"));
+    REQUIRE(WaitUntilServed(1, "queue-1999"));
+  }
+};
+
+TEST_CASE("a slow link carries no large configuration again for each change") {
+  UnequalSite site;
+  site.PutConfiguration({2, kManyQueues + 1, kPadding});
+  REQUIRE(site.WaitUntilServed(1, "queue-2000"));
+  // The watch that waited for the change is answered with the whole row.
+  std::this_thread::sleep_for(std::chrono::seconds(5));
+  const std::uint64_t before = site.TableLinkBytes(1);
+  for (std::uint64_t version = 3; version < 9; ++version) {
+    site.PutConfiguration({version, kManyQueues + version - 1, kPadding});
+    const std::string added =
+        "queue-" + std::to_string(kManyQueues + version - 2);
+    CHECK(site.WaitUntilServed(1, added));
+  }
+  CHECK(site.TableLinkBytes(1) - before < kManyQueues * kPadding);
+}
+
+TEST_CASE("an instance cut off from the table gets versions from a peer") {
+  UnequalSite site;
+  standins::LinkFaults cut;
+  cut.cut_to_source = true;
+  cut.cut_to_target = true;
+  site.SetTableLink(1, cut);
+  for (std::uint64_t version = 2; version < 5; ++version) {
+    site.PutConfiguration({version, kManyQueues + version, kPadding});
+    const std::string added =
+        "queue-" + std::to_string(kManyQueues + version - 1);
+    CHECK(site.WaitUntilServed(1, added));
+  }
+}
+
+TEST_CASE("a forgotten history does not keep a configuration from service") {
+  SlowSite site;
+  site.PutConfiguration({2, 10, kPadding});
+  site.DropHistory();
+  CHECK(site.WaitUntilServed(0, "queue-9"));
+}
+
 }  // namespace
 }  // namespace jasminespar::jobserver
--- a/tests/jobserver/job_site.cc
+++ b/tests/jobserver/job_site.cc
@@ -137,10 +137,10 @@
   RunOnTableDuty([this] { table_->DropHistory(); });
 }
 
-std::uint64_t JobSite::table_requests() {
-  std::uint64_t requests = 0;
-  RunOnTableDuty([&] { requests = table_->requests(); });
-  return requests;
+std::uint64_t JobSite::TableLinkBytes(std::size_t instance) {
+  std::uint64_t bytes = 0;
+  RunOnTableDuty([&] { bytes = links_[instance]->bytes(); });
+  return bytes;
 }
 
 bool JobSite::WaitUntilServed(std::size_t instance, const std::string& queue) {
--- a/tests/jobserver/job_site.h
+++ b/tests/jobserver/job_site.h
@@ -42,6 +42,9 @@
   /// Sets the faults of the link from an instance to the table.
   void SetTableLink(std::size_t instance, const standins::LinkFaults& faults);
 
+  /// @return bytes that crossed the link so far.
+  [[nodiscard]] std::uint64_t TableLinkBytes(std::size_t instance);
+
   void PutConfiguration(const SiteText& text);
   void DropHistory();
 
@@ -52,9 +55,6 @@
   /// @return the status of a request to the queue; 0 without a response.
   [[nodiscard]] int StatusOf(std::size_t instance, const std::string& queue);
 
-  /// @return how many requests the table has received.
-  [[nodiscard]] std::uint64_t table_requests();
-
  private:
   struct Ports {
     std::uint16_t callers = 0;
--- a/tests/protocol/job_records_test.cc
+++ b/tests/protocol/job_records_test.cc
@@ -5,7 +5,7 @@
 #include <random>
 
 #include "jasminespar/core/error.h"
-#include "jasminespar/protocol/relay_message.h"
+#include "jasminespar/protocol/job_peer_message.h"
 
 namespace jasminespar::protocol {
 namespace {
@@ -56,15 +56,15 @@
   site::Transaction transaction;
   transaction.conditions.push_back({{"t", "p", "k"}, {7}});
   transaction.writes.push_back({{"t", "p", "k"}, "value", {}});
-  const RelayMessage request_message = RelayRequest{5, transaction};
-  const RelayMessage decoded_request =
-      DecodeRelayMessage(Encode(request_message));
+  const JobPeerMessage request_message = RelayRequest{5, transaction};
+  const JobPeerMessage decoded_request =
+      DecodeJobPeerMessage(Encode(request_message));
   REQUIRE(std::holds_alternative<RelayRequest>(decoded_request));
   const auto& request = std::get<RelayRequest>(decoded_request).request;
   CHECK(std::get<site::Transaction>(request).conditions.at(0).version.value ==
         7);
-  const RelayMessage reply_message = RelayReply{5, site::Committed{{9}}};
-  const RelayMessage decoded_reply = DecodeRelayMessage(Encode(reply_message));
+  const JobPeerMessage reply_message = RelayReply{5, site::Committed{{9}}};
+  const JobPeerMessage decoded_reply = DecodeJobPeerMessage(Encode(reply_message));
   const auto& outcome = std::get<RelayReply>(decoded_reply).outcome;
   CHECK(std::get<site::Committed>(outcome).version.value == 9);
 }
