Serve no call before a release note is in force

What callers saw: 404 unknown_service for a service of the accepted note (site_instances, note_in_force). Cause: an instance that started before the site's first note had revision 0, an empty configuration, in force. It reported itself ready and refused every call as unknown until a peer's heartbeat or its poll, every 5 s, brought the note. The test waits for readiness and then sends its calls. Class: a state that is not known yet is answered like one that is known. Ruled out by reading: a restarted instance loads head and notes before it publishes anything, so it cannot be at revision 0 once the note is accepted. Change: ready, and calls served, from revision 1 on; before, calls are refused as recovering, not run, with a time to come back.

--- a/packages/daemon/include/jasminespar/daemon/caller_front.h
+++ b/packages/daemon/include/jasminespar/daemon/caller_front.h
@@ -83,6 +83,11 @@
   void On(const ConfigurationUpdate& message);
   void On(const DrainFront& message);
 
+  /// @return whether a release note is in force here. Without one an instance
+  ///     knows no service, but the site's first note may be on its way.
+  [[nodiscard]] bool has_accepted_note() const;
+  [[nodiscard]] bool ready() const { return !draining_ && has_accepted_note(); }
+
   boost::asio::awaitable<http::Response> Serve(
       http::Request request, std::shared_ptr<http::ConnectionState> state);
   boost::asio::awaitable<http::Response> Dispatch(http::Request request);
--- a/packages/daemon/src/caller_front.cc
+++ b/packages/daemon/src/caller_front.cc
@@ -117,11 +117,15 @@
 void CallerFront::On(const ConfigurationUpdate& message) {
   configuration_ = message.configuration;
   configuration_known_ = true;
-  metrics_.Set(telemetry::Gauge::kReady, draining_ ? 0 : 1);
+  metrics_.Set(telemetry::Gauge::kReady, ready() ? 1 : 0);
   metrics_.Set(telemetry::Gauge::kConfigurationRevision,
                static_cast<double>(configuration_->revision.value));
 }
 
+bool CallerFront::has_accepted_note() const {
+  return configuration_known_ && configuration_->revision > Revision{};
+}
+
 void CallerFront::On(const DrainFront&) {
   draining_ = true;
   metrics_.Set(telemetry::Gauge::kReady, 0);
@@ -182,9 +186,8 @@
 Response CallerFront::ServeStatus(std::string_view path) const {
   if (path == "/healthz") return MakeText(kOk, "ok\n", "text/plain");
   if (path == "/readyz") {
-    const bool ready = !draining_ && configuration_known_;
-    return MakeText(ready ? kOk : kUnavailable,
-                    ready ? "ready\n" : "not ready\n", "text/plain");
+    return MakeText(ready() ? kOk : kUnavailable,
+                    ready() ? "ready\n" : "not ready\n", "text/plain");
   }
   const TimePoint now = runtime::SteadyNow();
   if (path == "/v1/configuration" && !configuration_known_) {
@@ -237,10 +240,10 @@
 
 asio::awaitable<Response> CallerFront::ServeSubmit(http::Request request,
                                                    ServiceId service) {
-  if (!configuration_known_) {
+  if (!has_accepted_note()) {
     Refusal refusal = MakeRefusal(Reason::kRecovering, Verdict::kNotRun);
     refusal.retry_after = kNoConfigurationRetryDelay;
-    refusal.detail = "no configuration is known yet";
+    refusal.detail = "no release note is in force here yet";
     co_return Refuse(refusal);
   }
   auto parsed =
--- a/packages/daemon/src/configuration_store.cc
+++ b/packages/daemon/src/configuration_store.cc
@@ -52,8 +52,9 @@
     } catch (const Error&) {
       metrics_.Count(telemetry::Counter::kStoreErrors);
     }
-    const bool unknown = keeper_.current() == nullptr;
-    co_await runtime::Sleep(context_, unknown ? kRetryDelay : poll_interval_);
+    // Without a note the instance serves no call.
+    const bool serves = keeper_.revision() > Revision{};
+    co_await runtime::Sleep(context_, serves ? poll_interval_ : kRetryDelay);
   }
 }
 
