Let three instances watch the configuration and the others fetch its changes

Cause: reading a large configuration costs every instance, fast link or not, some 60 ms of processor time (4,000 routes), so that changes in quick series would keep all instances of a site of quarter cores busy decoding the same rows. Change: an instance leaves the watch to the peers that read it faster (heartbeats say how long a read takes), three of them, or one if its own read takes over 300 ms; it still reads itself when they do not confirm its version, or when a newer version does not come. The pause after a change is as long as the read, 50 to 150 ms. Ruled out: an elected reader (a vote); a fixed order by name (it may choose the slowest).

--- a/packages/jobs/include/jasminespar/jobs/configuration_sync.h
+++ b/packages/jobs/include/jasminespar/jobs/configuration_sync.h
@@ -5,9 +5,10 @@
 #ifndef JASMINESPAR_JOBS_CONFIGURATION_SYNC_H_
 #define JASMINESPAR_JOBS_CONFIGURATION_SYNC_H_
 
-#include <cstdint>
+#include <cstddef>
 #include <optional>
 #include <random>
+#include <utility>
 #include <vector>
 
 #include "jasminespar/core/ids.h"
@@ -24,13 +25,15 @@
   std::optional<TimePoint> confirmed_at;
   /// The peer watches the table all the time.
   bool watches_table = false;
+  /// Of the peer's last read of a version from the table; 0 before the first.
+  Duration read_time{};
 };
 
 /// The table returns the whole configuration with each change, so reading it
-/// costs an instance with a slow link or little processor time seconds. Such an
-/// instance leaves the watch of the table to faster peers, as long as these
-/// confirm its version, and fetches the changes between two versions from them.
-/// Without such a peer every instance watches the table. Not thread-safe.
+/// costs every instance processor time, and one with a slow link seconds. An
+/// instance leaves the watch of the table to the peers that read it faster, as
+/// long as enough of them confirm its version, and fetches the changes between
+/// two versions from them. Not thread-safe.
 class ConfigurationSync {
  public:
   /// A version that no peer has confirmed for this long is read from the table.
@@ -38,7 +41,13 @@
   /// two heartbeats together.
   static constexpr Duration kConfirmationLimit = 1100ms;
 
-  /// An instance that reads a configuration within this time watches the table.
+  /// An instance that reads a version within this time always watches the
+  /// table.
+  static constexpr Duration kCheapRead = 20ms;
+
+  /// So many faster peers must watch the table before an instance leaves it to
+  /// them, or one of them if its own read takes longer than kFastRead.
+  static constexpr std::size_t kWatchers = 3;
   static constexpr Duration kFastRead = 300ms;
 
   /// An instance that watches the table leaves it this long to deliver a
@@ -50,6 +59,8 @@
   static constexpr Duration kReplyTimeout = 1s;
   static constexpr Duration kMaxReplyTimeout = 8s;
 
+  explicit ConfigurationSync(InstanceId self) : self_(std::move(self)) {}
+
   // ---- What the instance learns ----
 
   /// The table returned a version.
@@ -89,9 +100,11 @@
   [[nodiscard]] std::optional<TimePoint> confirmed_at() const noexcept {
     return confirmed_at_;
   }
-  [[nodiscard]] bool watches_table() const noexcept {
-    return table_served_ && reads_fast_;
+  [[nodiscard]] bool WatchesTable(TimePoint now) const {
+    return table_served_ && TableReadDelay(now) == Duration{};
   }
+  /// @return of the last read of a version from the table; 0 before the first.
+  [[nodiscard]] Duration read_time() const noexcept { return read_time_; }
 
  private:
   struct PeerRequest {
@@ -99,6 +112,13 @@
     TimePoint sent_at;
   };
 
+  /// @return whether the peer watches the table and has lately confirmed the
+  ///     present version, or found a newer one that it can send.
+  [[nodiscard]] bool IsReliedOn(const PeerConfiguration& peer,
+                                TimePoint now) const;
+  /// @return whether the peer reads the table in clearly less time, or is
+  ///     preferred by its name among those that take about as long.
+  [[nodiscard]] bool IsFaster(const PeerConfiguration& peer) const;
   /// @return the newest version at any peer.
   [[nodiscard]] Revision NewestAtPeers() const;
   /// @return the peers to choose from: with the newest version, if possible
@@ -107,6 +127,7 @@
       const std::optional<InstanceId>& avoided) const;
   [[nodiscard]] bool MayAskAgain(TimePoint now) const;
 
+  InstanceId self_;
   Revision version_;
   std::optional<TimePoint> confirmed_at_;
   std::vector<PeerConfiguration> peers_;
@@ -114,8 +135,8 @@
   std::optional<TimePoint> behind_since_;
   std::optional<PeerRequest> request_;
   Duration reply_timeout_ = kReplyTimeout;
+  Duration read_time_{};
   bool table_served_ = false;
-  bool reads_fast_ = true;
 };
 
 }  // namespace jasminespar::jobs
--- a/packages/jobs/src/configuration_sync.cc
+++ b/packages/jobs/src/configuration_sync.cc
@@ -1,16 +1,28 @@
 #include "jasminespar/jobs/configuration_sync.h"
 
 #include <algorithm>
+#include <bit>
+#include <cstdint>
 #include <iterator>
 #include <utility>
 
 namespace jasminespar::jobs {
 
+namespace {
+
+/// @return the power of two of milliseconds, so that times that differ by
+///     chance compare as equal.
+int SizeClassOf(Duration time) {
+  return std::bit_width(static_cast<std::uint64_t>(ToMilliseconds(time)));
+}
+
+}  // namespace
+
 void ConfigurationSync::HandleTableAnswer(Revision newest,
                                           TimePoint confirmed_at,
                                           std::optional<Duration> read_time) {
   table_served_ = true;
-  if (read_time) reads_fast_ = *read_time <= kFastRead;
+  if (read_time) read_time_ = *read_time;
   if (newest == version_) confirmed_at_ = confirmed_at;
 }
 
@@ -41,20 +53,39 @@
 }
 
 Duration ConfigurationSync::TableReadDelay(TimePoint now) const {
-  if (version_ == Revision{} || reads_fast_) return {};
-  std::optional<TimePoint> confirmed_at;
+  if (version_ == Revision{} || read_time_ <= kCheapRead) return {};
+  std::size_t watchers = 0;
+  TimePoint confirmed_at;
   for (const PeerConfiguration& peer : peers_) {
-    if (!peer.watches_table || peer.version != version_) continue;
-    confirmed_at = std::max(confirmed_at, peer.confirmed_at);
+    if (!IsReliedOn(peer, now) || !IsFaster(peer)) continue;
+    ++watchers;
+    confirmed_at = std::max(confirmed_at, *peer.confirmed_at);
   }
-  if (!confirmed_at) return {};
-  return std::max(Duration{}, *confirmed_at + kConfirmationLimit - now);
+  const std::size_t needed = read_time_ > kFastRead ? 1 : kWatchers;
+  if (watchers < needed) return {};
+  return confirmed_at + kConfirmationLimit - now;
+}
+
+bool ConfigurationSync::IsReliedOn(const PeerConfiguration& peer,
+                                   TimePoint now) const {
+  if (!peer.watches_table || !peer.confirmed_at) return false;
+  if (now - *peer.confirmed_at >= kConfirmationLimit) return false;
+  if (peer.version == version_) return true;
+  // A newer version is to come from that peer.
+  return peer.version > version_ && behind_since_ &&
+         now - *behind_since_ < kConfirmationLimit;
+}
+
+bool ConfigurationSync::IsFaster(const PeerConfiguration& peer) const {
+  const int own = SizeClassOf(read_time_);
+  const int other = SizeClassOf(peer.read_time);
+  return other < own || (other == own && peer.instance < self_);
 }
 
 std::optional<InstanceId> ConfigurationSync::ChoosePeer(
     TimePoint now, std::mt19937_64& random) {
   if (!behind_since_ || !MayAskAgain(now)) return std::nullopt;
-  if (watches_table() && now - *behind_since_ < kTableHeadStart) {
+  if (WatchesTable(now) && now - *behind_since_ < kTableHeadStart) {
     return std::nullopt;
   }
   std::optional<InstanceId> silent;
--- a/packages/jobserver/include/jasminespar/jobserver/messages.h
+++ b/packages/jobserver/include/jasminespar/jobserver/messages.h
@@ -236,8 +236,10 @@
 /// What heartbeats are to say of this instance's configuration.
 struct OwnConfiguration {
   Revision version;
-  std::optional<TimePoint> confirmed_at;  ///< See jobs::PeerConfiguration.
+  // As in jobs::PeerConfiguration.
+  std::optional<TimePoint> confirmed_at;
   bool watches_table = false;
+  Duration read_time{};
 };
 /// Asks a peer for its configuration; answered by PeerConfigurationReceived, if
 /// at all.
--- a/packages/jobserver/src/configuration_link.cc
+++ b/packages/jobserver/src/configuration_link.cc
@@ -27,8 +27,10 @@
 constexpr Duration kIdleTimeout = 1s;
 constexpr Duration kRetryDelay = 100ms;
 
-/// Delay after a change, which bounds the reads of a quick series of changes.
-constexpr Duration kChangeInterval = 50ms;
+/// Limits of the pause after a change, which is as long as the read took and so
+/// bounds the share of time spent on a quick series of changes.
+constexpr Duration kMinChangeInterval = 50ms;
+constexpr Duration kMaxChangeInterval = 150ms;
 
 /// The only connection is used by one request at a time.
 constexpr std::size_t kConnections = 1;
@@ -56,6 +58,7 @@
       metrics_(metrics),
       log_(rings.telemetry),
       table_(duty.context(), table_address, codec.table, kConnections),
+      sync_(self),
       random_(SeededHash(self.value, 0)) {}
 
 void ConfigurationLink::Start() {
@@ -101,6 +104,7 @@
   while (true) {
     const Duration delay = sync_.TableReadDelay(runtime::SteadyNow());
     if (delay > Duration{}) {
+      PublishOwn();
       co_await runtime::Sleep(duty_.context(), delay);
     } else {
       co_await ReadTable();
@@ -119,7 +123,9 @@
     HandlePage(*page, answer, sent_at);
     rings_.store.Send(ConfigurationReadEnded{site::RowPage{}, {}});
     if (!page->rows.empty()) {
-      co_await runtime::Sleep(duty_.context(), kChangeInterval);
+      const Duration pause =
+          std::clamp(sync_.read_time(), kMinChangeInterval, kMaxChangeInterval);
+      co_await runtime::Sleep(duty_.context(), pause);
     }
     co_return;
   }
@@ -274,7 +280,8 @@
 
 void ConfigurationLink::PublishOwn() {
   rings_.peers.Send(OwnConfiguration{sync_.version(), sync_.confirmed_at(),
-                                     sync_.watches_table()});
+                                     sync_.WatchesTable(runtime::SteadyNow()),
+                                     sync_.read_time()});
 }
 
 }  // namespace jasminespar::jobserver
--- a/packages/jobserver/src/peer_link.cc
+++ b/packages/jobserver/src/peer_link.cc
@@ -142,6 +142,7 @@
   heartbeat.unsettled = unsettled_;
   heartbeat.configuration = own_configuration_.version;
   heartbeat.watches_configuration = own_configuration_.watches_table;
+  heartbeat.configuration_read_time = own_configuration_.read_time;
   if (own_configuration_.confirmed_at) {
     heartbeat.configuration_age = now - *own_configuration_.confirmed_at;
   }
@@ -214,6 +215,7 @@
   known.instance = heartbeat.instance;
   known.version = heartbeat.configuration;
   known.watches_table = heartbeat.watches_configuration;
+  known.read_time = heartbeat.configuration_read_time;
   known.confirmed_at.reset();
   if (heartbeat.configuration_age >= Duration{}) {
     known.confirmed_at = now - heartbeat.configuration_age;
--- a/packages/protocol/include/jasminespar/protocol/job_peer_message.h
+++ b/packages/protocol/include/jasminespar/protocol/job_peer_message.h
@@ -33,6 +33,8 @@
   Duration configuration_age{-1};
   /// The sender watches the table for changes of the configuration.
   bool watches_configuration = false;
+  /// Of the sender's last read of a version from the table.
+  Duration configuration_read_time{};
 };
 
 /// Row through which instances discover each other.
--- a/tests/protocol/job_peer_message_test.cc
+++ b/tests/protocol/job_peer_message_test.cc
@@ -58,10 +58,12 @@
   sent.configuration = Revision{8};
   sent.configuration_age = 120ms;
   sent.watches_configuration = true;
+  sent.configuration_read_time = 30ms;
   const PeerHeartbeat received = DecodePeerHeartbeat(Encode(sent));
   CHECK(received.configuration == sent.configuration);
   CHECK(received.configuration_age == sent.configuration_age);
   CHECK(received.watches_configuration);
+  CHECK(received.configuration_read_time == sent.configuration_read_time);
 }
 
 }  // namespace
