Ask for smaller pages after a read without an answer

An instance that the table refuses could not load a large table of jobs or statuses, however often it tried. Change: RowRange has a limit; the table client halves it after a read without an answer and doubles it with each page.

--- a/packages/protocol/src/job_peer_message.cc
+++ b/packages/protocol/src/job_peer_message.cc
@@ -50,7 +50,7 @@
 }
 template <typename Archive>
 void serialize(Archive& archive, RowRange& range) {
-  archive(range.table, range.partition, range.from, range.to);
+  archive(range.table, range.partition, range.from, range.to, range.limit);
 }
 template <typename Archive>
 void serialize(Archive& archive, Watch& watch) {
--- a/packages/site/include/jasminespar/site/table.h
+++ b/packages/site/include/jasminespar/site/table.h
@@ -6,6 +6,7 @@
 #define JASMINESPAR_SITE_TABLE_H_
 
 #include <compare>
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <variant>
@@ -69,6 +70,8 @@
   std::string partition;
   std::string from;  ///< Lowest key, inclusive; empty for no bound.
   std::string to;    ///< Highest key, exclusive; empty for no bound.
+  /// Most rows of one page; 0 for the table's own limit.
+  std::size_t limit = 0;
 };
 struct RowPage {
   std::vector<Row> rows;
--- a/packages/site/include/jasminespar/site/table_client.h
+++ b/packages/site/include/jasminespar/site/table_client.h
@@ -6,6 +6,7 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
+#include <cstddef>
 #include <functional>
 #include <optional>
 #include <string>
@@ -96,11 +97,19 @@
   }
 
  private:
+  /// Rows in one page, as the table limits them.
+  static constexpr std::size_t kMaxPageRows = 500;
+
+  /// Halves the rows of a page after a read without an answer: through a peer a
+  /// page must be transferred twice within the time of one relayed request.
+  void AdaptPageRows(const TableOutcome& outcome);
+
   boost::asio::io_context& context_;
   TableClientSettings settings_;
   Callbacks callbacks_;
   TablePathChooser path_;
   std::string last_error_;
+  std::size_t page_rows_ = kMaxPageRows;  ///< Asked for in the next read.
   TableExchange requests_;
   TableExchange watches_;
 };
--- a/packages/site/src/table_client.cc
+++ b/packages/site/src/table_client.cc
@@ -104,8 +104,10 @@
   RowPage all;
   bool first = true;
   while (true) {
+    range.limit = page_rows_;
     TableRequest request = range;
     TableOutcome outcome = co_await Send(std::move(request));
+    AdaptPageRows(outcome);
     if (auto* page = std::get_if<RowPage>(&outcome)) {
       if (std::exchange(first, false)) all.version = page->version;
       std::move(page->rows.begin(), page->rows.end(),
@@ -121,4 +123,12 @@
   }
 }
 
+void TableClient::AdaptPageRows(const TableOutcome& outcome) {
+  if (std::holds_alternative<RowPage>(outcome)) {
+    page_rows_ = std::min(2 * page_rows_, kMaxPageRows);
+  } else if (std::holds_alternative<NoAnswer>(outcome)) {
+    page_rows_ = std::max(page_rows_ / 2, std::size_t{1});
+  }
+}
+
 }  // namespace jasminespar::site
--- a/packages/standins/src/watched_table.cc
+++ b/packages/standins/src/watched_table.cc
@@ -58,12 +58,14 @@
     const site::RowRange& range) const {
   site::RowPage page;
   page.version = version_;
+  const std::size_t limit =
+      range.limit == 0 ? kPageRows : std::min(range.limit, kPageRows);
   auto next = rows_.lower_bound({range.table, range.partition, range.from});
   for (; next != rows_.end(); ++next) {
     const auto& [key, stored] = *next;
     if (key.table != range.table || key.partition != range.partition) break;
     if (!range.to.empty() && key.key >= range.to) break;
-    if (page.rows.size() == kPageRows) {
+    if (page.rows.size() == limit) {
       page.has_more = true;
       break;
     }
