--- a/packages/jobs/src/configuration_sync.cc
+++ b/packages/jobs/src/configuration_sync.cc
@@ -95,9 +95,8 @@
   }
   const std::vector<InstanceId> candidates = Candidates(silent);
   std::uniform_int_distribution<std::size_t> index(0, candidates.size() - 1);
-  const InstanceId chosen = candidates[index(random)];
-  request_ = PeerRequest{chosen, now};
-  return chosen;
+  request_ = PeerRequest{candidates[index(random)], now};
+  return request_->peer;
 }
 
 Revision ConfigurationSync::NewestAtPeers() const {
--- a/packages/jobserver/src/job_server.cc
+++ b/packages/jobserver/src/job_server.cc
@@ -17,11 +17,11 @@
 #include "jasminespar/jobserver/telemetry_writer.h"
 #include "jasminespar/jobserver/worker_link.h"
 #include "jasminespar/runtime/clock.h"
+#include "job_rings.h"
 
 namespace jasminespar::jobserver {
 
 namespace asio = boost::asio;
-using runtime::Channel;
 using runtime::ConnectConsumer;
 using runtime::Duty;
 using telemetry::Event;
@@ -145,58 +145,6 @@
   }
 
  private:
-  struct Rings {
-    explicit Rings(std::size_t capacity)
-        : front_to_store(capacity),
-          front_to_peers(capacity),
-          front_to_telemetry(capacity),
-          store_to_front(capacity),
-          store_to_dispatch(capacity),
-          store_to_peers(capacity),
-          store_to_telemetry(capacity),
-          peers_to_store(capacity),
-          peers_to_dispatch(capacity),
-          peers_to_front(capacity),
-          peers_to_configuration(capacity),
-          peers_to_telemetry(capacity),
-          configuration_to_front(capacity),
-          configuration_to_dispatch(capacity),
-          configuration_to_store(capacity),
-          configuration_to_peers(capacity),
-          configuration_to_telemetry(capacity),
-          dispatch_to_store(capacity),
-          dispatch_to_workers(capacity),
-          dispatch_to_telemetry(capacity),
-          workers_to_dispatch(capacity),
-          main_to_front(capacity),
-          main_to_dispatch(capacity),
-          main_to_telemetry(capacity) {}
-    Channel<FrontToStore> front_to_store;
-    Channel<ToPeers> front_to_peers;
-    Channel<ToTelemetry> front_to_telemetry;
-    Channel<ToFront> store_to_front;
-    Channel<ToDispatch> store_to_dispatch;
-    Channel<ToPeers> store_to_peers;
-    Channel<ToTelemetry> store_to_telemetry;
-    Channel<PeersToStore> peers_to_store;
-    Channel<ToDispatch> peers_to_dispatch;
-    Channel<ToFront> peers_to_front;
-    Channel<ToConfiguration> peers_to_configuration;
-    Channel<ToTelemetry> peers_to_telemetry;
-    Channel<ToFront> configuration_to_front;
-    Channel<ToDispatch> configuration_to_dispatch;
-    Channel<ConfigurationToStore> configuration_to_store;
-    Channel<ToPeers> configuration_to_peers;
-    Channel<ToTelemetry> configuration_to_telemetry;
-    Channel<DispatchToStore> dispatch_to_store;
-    Channel<ToWorkers> dispatch_to_workers;
-    Channel<ToTelemetry> dispatch_to_telemetry;
-    Channel<ToDispatch> workers_to_dispatch;
-    Channel<ToFront> main_to_front;
-    Channel<ToDispatch> main_to_dispatch;
-    Channel<ToTelemetry> main_to_telemetry;
-  };
-
   void JoinRings() {
     runtime::ConnectDuties(rings_.front_to_store, front_duty_, store_duty_,
                            [this](FrontToStore&& message) {
@@ -335,7 +283,7 @@
   std::string settings_path_;
   std::string settings_text_;
   telemetry::Metrics metrics_;
-  Rings rings_;
+  JobRings rings_;
   Duty main_duty_{"main"};  // Never started: its context is run by Run.
   asio::io_context& main_context_ = main_duty_.context();
   EventLog log_;
--- a/tests/site/running_site.h
+++ b/tests/site/running_site.h
@@ -18,19 +18,23 @@
 inline constexpr Duration kReadyTimeout = 30s;
 inline constexpr int kTestAccounts = 2;
 
-struct RunningSite {
-  RunningSite() : site(SiteOptions{}) {
-    site.StartAllInstances();
-    std::string error = "no response from any instance";
-    std::optional<std::uint64_t> revision;
-    for (int i = 0; !revision && i < 100; ++i) {
-      revision = site.ApplyReleaseNote(MakeFirstNote(kTestAccounts, 1), error);
-      if (!revision) std::this_thread::sleep_for(100ms);
-    }
-    INFO(error);
-    REQUIRE(revision);
-    REQUIRE(site.WaitUntilAllReady(kReadyTimeout));
+/// Starts all instances of a site and waits until its first note is accepted
+/// and all are ready.
+inline void StartWithFirstNote(Site& site) {
+  site.StartAllInstances();
+  std::string error = "no response from any instance";
+  std::optional<std::uint64_t> revision;
+  for (int i = 0; !revision && i < 100; ++i) {
+    revision = site.ApplyReleaseNote(MakeFirstNote(kTestAccounts, 1), error);
+    if (!revision) std::this_thread::sleep_for(100ms);
   }
+  INFO(error);
+  REQUIRE(revision);
+  REQUIRE(site.WaitUntilAllReady(kReadyTimeout));
+}
+
+struct RunningSite {
+  RunningSite() : site(SiteOptions{}) { StartWithFirstNote(site); }
 
   [[nodiscard]] LoadSettings MakeLoadSettings() const {
     LoadSettings settings;
--- a/tests/site_instances/first_note_test.cc
+++ b/tests/site_instances/first_note_test.cc
@@ -7,16 +7,7 @@
   Site site{SiteOptions{}};
   site.SetLinkFault("peer/",
                     {{"cut_to_target", true}, {"cut_to_source", true}});
-  site.StartAllInstances();
-  std::string error = "no response from any instance";
-  std::optional<std::uint64_t> revision;
-  for (int i = 0; !revision && i < 100; ++i) {
-    revision = site.ApplyReleaseNote(MakeFirstNote(kTestAccounts, 1), error);
-    if (!revision) std::this_thread::sleep_for(100ms);
-  }
-  INFO(error);
-  REQUIRE(revision);
-  REQUIRE(site.WaitUntilAllReady(kReadyTimeout));
+  StartWithFirstNote(site);
   LoadSettings settings;
   settings.call_timeout = 5s;
   settings.send_timeout = 5s;
