Announce a version only when it is known whether the table confirms it

What callers saw: nothing yet; found with bench_configuration_delay: with a change every 100 ms, some instances had it after 428 ms although a peer had it after 50. Cause: a version was announced before the read that brought it counted as its confirmation, so that peers took the announcer for one that does not watch the table, and went to watch it themselves. Change: the caller of Adopt publishes, after the confirmation.

--- a/packages/jobserver/include/jasminespar/jobserver/configuration_link.h
+++ b/packages/jobserver/include/jasminespar/jobserver/configuration_link.h
@@ -74,7 +74,8 @@
                  TimePoint sent_at);
 
   void AskPeerIfBehind();
-  /// Brings a configuration into force if it is newer than the present one.
+  /// Brings a configuration into force if it is newer than the present one. The
+  /// caller publishes it, once it is known whether the table confirms it.
   void Adopt(jobs::SiteConfiguration configuration, const Origin& origin);
   void KeepAsBase(Snapshot snapshot);
   /// @return the message with the change from a version held by a peer.
--- a/packages/jobserver/src/configuration_link.cc
+++ b/packages/jobserver/src/configuration_link.cc
@@ -95,6 +95,7 @@
       origin.decoding = runtime::SteadyNow() - begun;
       metrics_.Count(telemetry::Counter::kConfigurationsFromPeers);
       Adopt(*std::move(configuration), origin);
+      PublishOwn();
     }
   }
   AskPeerIfBehind();
@@ -235,7 +236,6 @@
   sync_.SetVersion(current_->version(), runtime::SteadyNow());
   rings_.front.Send(ConfigurationUpdate{current_});
   rings_.dispatch.Send(ConfigurationUpdate{current_});
-  PublishOwn();
   metrics_.Count(telemetry::Counter::kRevisionsApplied);
   log_.Log(Event::kRevisionApplied,
            {{"version", current_->version().value},
