--- a/packages/jobserver/src/configuration_link.cc
+++ b/packages/jobserver/src/configuration_link.cc
@@ -41,10 +41,11 @@
 /// A response of this size is never abandoned.
 constexpr std::size_t kSmallResponseBytes = 128U << 10;
 
-/// Queues in all versions that are kept for changes to peers, and the number of
-/// these versions.
-constexpr std::size_t kMaxBaseQueues = 60'000;
+/// Versions that are kept for changes to peers, and the queues in all of them,
+/// which bound the memory; so many versions are kept whatever their size.
 constexpr std::size_t kMaxBases = 8;
+constexpr std::size_t kMaxBaseQueues = 60'000;
+constexpr std::size_t kMinBases = 2;
 
 }  // namespace
 
@@ -252,8 +253,8 @@
   bases_.push_back(std::move(snapshot));
   std::size_t queues = 0;
   for (const Snapshot& base : bases_) queues += base->content().queues.size();
-  while (!bases_.empty() &&
-         (bases_.size() > kMaxBases || queues > kMaxBaseQueues)) {
+  while (bases_.size() > kMaxBases ||
+         (bases_.size() > kMinBases && queues > kMaxBaseQueues)) {
     queues -= bases_.front()->content().queues.size();
     bases_.pop_front();
   }
