Close a peer connection whose bytes are not acknowledged

Found by reading, on the way of the configuration through peers: a connection that goes silent without a reset stays open, and each request over it waits for its timeout, for ever. Not covered by a test of ours (the stand-in's routes acknowledge what they hold back).

--- a/packages/peers/src/frame_connection.cc
+++ b/packages/peers/src/frame_connection.cc
@@ -1,5 +1,8 @@
 #include "jasminespar/peers/frame_connection.h"
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+
 #include <array>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -20,6 +23,13 @@
 
 constexpr std::size_t kLengthBytes = 4;
 
+/// A connection whose bytes are not acknowledged for this long is closed by the
+/// kernel; it may have gone silent without a reset.
+constexpr int kUnacknowledgedTimeoutMs = 3000;
+
+using UnacknowledgedTimeout =
+    asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+
 /// Send() fails above this limit: a peer that reads so slowly is treated like
 /// an unreachable one.
 constexpr std::size_t kMaxUnsentBytes = 64U << 20;
@@ -56,6 +66,7 @@
 void FrameConnection::Start() {
   boost::system::error_code ignored;
   socket_.set_option(Tcp::no_delay(true), ignored);
+  socket_.set_option(UnacknowledgedTimeout(kUnacknowledgedTimeoutMs), ignored);
   connected_ = true;
   asio::co_spawn(context_, ReadFrames(shared_from_this()), asio::detached);
   asio::co_spawn(context_, WriteFrames(shared_from_this()), asio::detached);
