--- a/packages/jobserver/src/store_watches.cc
+++ b/packages/jobserver/src/store_watches.cc
@@ -144,7 +144,10 @@
     return std::max(kStatusInterval, kStatusIntervalPerMember * members);
   };
   watch.on_row = [this](const site::Row& row) { HandleStatusRow(row); };
-  watch.on_loaded = [this](const std::set<std::string>&) {
+  watch.on_loaded = [this](const std::set<std::string>& keys) {
+    std::erase_if(cancelled_, [&keys](const std::string& job) {
+      return !keys.contains(std::string(kCancellationPrefix) + job);
+    });
     rings_.front.Send(StatusesLoaded{});
   };
   watch.active = [] { return true; };
@@ -171,6 +174,11 @@
   watch.interval = [] { return kMemberInterval; };
   watch.timeout = kMemberTimeout;
   watch.on_row = [this](const site::Row& row) { HandleMemberRow(row); };
+  watch.on_loaded = [this](const std::set<std::string>& keys) {
+    std::erase_if(members_, [&keys](const std::string& member) {
+      return !keys.contains(member);
+    });
+  };
   watch.active = [] { return true; };
   asio::co_spawn(duty_.context(), WatchTable(std::move(watch)), asio::detached);
 }
