Let the stand-in's watches report every version of a row

As the platform's do: a watch that starts two changes back returns the row twice. The stand-in reported the last one only, so that no test made the configuration link give up such a response.

--- a/packages/standins/include/jasminespar/standins/watched_table.h
+++ b/packages/standins/include/jasminespar/standins/watched_table.h
@@ -46,10 +46,9 @@
       const site::Watch& watch) const;
 
   [[nodiscard]] bool Holds(const site::Condition& condition) const;
-  void Record(site::Row row);
 
   std::map<site::RowKey, Stored> rows_;
-  std::vector<site::Row> history_;
+  std::vector<site::Row> history_;  ///< Every change, oldest first.
   site::RowVersion version_{1};
   site::RowVersion history_start_{0};
 };
--- a/packages/standins/src/watched_table.cc
+++ b/packages/standins/src/watched_table.cc
@@ -20,7 +20,7 @@
 void WatchedTable::Put(const site::RowKey& key, std::string value) {
   ++version_.value;
   rows_[key] = {value, version_};
-  Record({key, std::move(value), version_});
+  history_.push_back({key, std::move(value), version_});
 }
 
 void WatchedTable::DropHistory() {
@@ -46,10 +46,10 @@
   ++version_.value;
   for (const site::Row& row : transaction.writes) {
     rows_[row.key] = {row.value, version_};
-    Record({row.key, row.value, version_});
+    history_.push_back({row.key, row.value, version_});
   }
   for (const site::RowKey& key : transaction.deletes) {
-    if (rows_.erase(key) > 0) Record({key, {}, version_, true});
+    if (rows_.erase(key) > 0) history_.push_back({key, {}, version_, true});
   }
   return site::Committed{version_};
 }
@@ -95,11 +95,4 @@
   return current == condition.version;
 }
 
-void WatchedTable::Record(site::Row row) {
-  // A watch reports only the last change of a row.
-  std::erase_if(history_,
-                [&](const site::Row& older) { return older.key == row.key; });
-  history_.push_back(std::move(row));
-}
-
 }  // namespace jasminespar::standins
