--- a/tests/jobserver/configuration_transfer_test.cc
+++ b/tests/jobserver/configuration_transfer_test.cc
@@ -46,6 +46,21 @@
   CHECK(site.StatusOf(0, "queue-1999") == 200);
 }
 
+TEST_CASE("an instance that missed many versions transfers the newest only") {
+  SlowSite site;
+  site.PutConfiguration({2, kManyQueues, kPadding});
+  REQUIRE(site.WaitUntilServed(0, "queue-1999"));
+  const std::uint64_t before = site.TableLinkBytes(0);
+  for (std::uint64_t version = 3; version < 22; ++version) {
+    site.PutConfiguration({version, kManyQueues, kPadding});
+  }
+  site.PutConfiguration({22, kManyQueues + 1, kPadding});
+  CHECK(site.WaitUntilServed(0, "queue-2000"));
+  constexpr std::size_t kTransfers = 4;
+  const std::size_t size = kManyQueues * (kPadding + 30);
+  CHECK(site.TableLinkBytes(0) - before < kTransfers * size);
+}
+
 /// Two instances, the second with a slow link, and a large configuration in
 /// force at both.
 struct UnequalSite : JobSite {
