--- a/packages/jobs/include/jasminespar/jobs/worker.h
+++ b/packages/jobs/include/jasminespar/jobs/worker.h
@@ -60,6 +60,8 @@
   bool leaving = false;
   std::vector<ListedRun> runs;
   std::vector<EndedRun> ends;  ///< Not yet acknowledged, oldest first.
+  /// Whether every listed run and end could be read.
+  bool complete = true;
 };
 
 /// Why a worker did not carry out an order.
--- a/packages/jobs/src/worker_polls.cc
+++ b/packages/jobs/src/worker_polls.cc
@@ -94,7 +94,8 @@
     HandleRunEnd(worker, end, now);
   }
   for (const ListedRun& run : report.runs) HandleListedRun(worker, run, now);
-  RemoveUnlistedRuns(worker, poll, report, now);
+  // A run that is missing from an incomplete report may exist.
+  if (report.complete) RemoveUnlistedRuns(worker, poll, report, now);
   if (worker.processed_to != worker.durable_to) {
     worker.next_poll = now.steady + kUncommittedPollInterval;
   } else if (worker.placed_runs.empty()) {
