--- a/packages/jobs/include/jasminespar/jobs/messages.h
+++ b/packages/jobs/include/jasminespar/jobs/messages.h
@@ -49,9 +49,21 @@
   WorkerEntry entry;
 };
 
-/// The platform's list no longer has the worker.
+/// Why the platform's list does not name a worker.
+enum class UnlistedCause : std::uint8_t {
+  kDeleted,     ///< Its entry was deleted.
+  kUnreadable,  ///< Its entry cannot be read; its process may still run.
+};
+
+/// The platform's list no longer names the worker.
 struct WorkerUnlisted {
   WorkerName name;
+  UnlistedCause cause = UnlistedCause::kDeleted;
+};
+
+/// All changes of the platform's list up to a time were given.
+struct WorkerListConfirmed {
+  TimePoint as_of;
 };
 
 /// A worker is stored in the table. Only stored workers are sent starts. After
--- a/packages/jobs/src/dispatcher.cc
+++ b/packages/jobs/src/dispatcher.cc
@@ -123,7 +123,9 @@
   if (found == workers_.end()) return;
   WorkerState& worker = found->second;
   worker.listed = false;
-  if (worker.leaving && now.steady - worker.listed_at < kLeavingEntryTimeout) {
+  const bool deleted = unlisted.cause == UnlistedCause::kDeleted;
+  if (deleted && worker.leaving &&
+      now.steady - worker.listed_at < kLeavingEntryTimeout) {
     worker.lease_expires_at = now.steady;
     worker.silent = true;
   }
--- a/packages/jobserver/include/jasminespar/jobserver/messages.h
+++ b/packages/jobserver/include/jasminespar/jobserver/messages.h
@@ -107,7 +107,12 @@
 /// A worker left the operators' list, or its entry became unreadable.
 struct WorkerRemoved {
   Epoch epoch;
-  jobs::WorkerName name;
+  jobs::WorkerUnlisted worker;
+};
+/// All changes of the operators' list up to a time were sent.
+struct WorkersConfirmed {
+  Epoch epoch;
+  TimePoint as_of;
 };
 /// Everything that the cell's new owner needs from the table was sent.
 struct LoadCompleted {
--- a/packages/jobserver/include/jasminespar/jobserver/store_link.h
+++ b/packages/jobserver/include/jasminespar/jobserver/store_link.h
@@ -104,6 +104,9 @@
   void RecordOutcome(site::TablePath path, const site::TableOutcome& outcome);
   void NotifyDirectReachability();
   void NotifyReachability();
+  /// Reports a listed worker as no longer listed.
+  void RemoveWorker(const std::string& name, jobs::UnlistedCause cause,
+                    Epoch epoch);
 
   runtime::Duty& duty_;
   MemberAddress self_;
--- a/packages/jobserver/src/dispatch_duty.cc
+++ b/packages/jobserver/src/dispatch_duty.cc
@@ -114,8 +114,12 @@
 }
 
 void DispatchDuty::On(WorkerRemoved& removed) {
-  if (Owns(removed.epoch)) {
-    HandleInput(jobs::WorkerUnlisted{std::move(removed.name)});
+  if (Owns(removed.epoch)) HandleInput(std::move(removed.worker));
+}
+
+void DispatchDuty::On(WorkersConfirmed& confirmed) {
+  if (Owns(confirmed.epoch)) {
+    HandleInput(jobs::WorkerListConfirmed{confirmed.as_of});
   }
 }
 
--- a/packages/jobserver/src/store_watches.cc
+++ b/packages/jobserver/src/store_watches.cc
@@ -231,8 +231,7 @@
   watch.on_loaded = [this, epoch](const std::set<std::string>& keys) {
     for (const std::string& name : std::set<std::string>(listed_workers_)) {
       if (keys.contains(name)) continue;
-      listed_workers_.erase(name);
-      rings_.dispatch.Send(WorkerRemoved{epoch, {name}});
+      RemoveWorker(name, jobs::UnlistedCause::kDeleted, epoch);
     }
     if (!std::exchange(workers_loaded_, true)) WatchJobs(epoch);
   };
@@ -326,16 +325,12 @@
 
 void StoreLink::HandleWorkerRow(const site::Row& row, Epoch epoch) {
   if (row.deleted) {
-    if (listed_workers_.erase(row.key.key) > 0) {
-      rings_.dispatch.Send(WorkerRemoved{epoch, {row.key.key}});
-    }
+    RemoveWorker(row.key.key, jobs::UnlistedCause::kUnreadable, epoch);
     return;
   }
   auto decoded = codec_.operators.decode_worker(row);
   if (const auto* error = std::get_if<site::DecodeError>(&decoded)) {
-    if (listed_workers_.erase(row.key.key) > 0) {
-      rings_.dispatch.Send(WorkerRemoved{epoch, {row.key.key}});
-    }
+    RemoveWorker(row.key.key, jobs::UnlistedCause::kDeleted, epoch);
     LogUnreadableRow(row, error->message);
     return;
   }
@@ -353,3 +348,9 @@
 }
 
 }  // namespace jasminespar::jobserver
+void StoreLink::RemoveWorker(const std::string& name, jobs::UnlistedCause cause,
+                             Epoch epoch) {
+  if (listed_workers_.erase(name) == 0) return;
+  rings_.dispatch.Send(WorkerRemoved{epoch, {{name}, cause}});
+}
+
