Let no entry without a worker behind it delay a takeover

Cause: each listed entry was enrolled at once, and the next owner waits for all enrolled workers, up to the lease of one that never answers (15 s); entries of a service that no queue uses were polled for ever.

--- a/packages/jobs/src/dispatcher.cc
+++ b/packages/jobs/src/dispatcher.cc
@@ -54,6 +54,10 @@
   configuration_ = std::move(change.configuration);
   for (const JobId& id : live_) {
     JobState& job = jobs_.at(id);
+  services_.clear();
+  for (const QueueConfiguration& queue : configuration_->content().queues) {
+    services_.insert(queue.service);
+  }
     const QueueConfiguration* queue = configuration_->FindQueue(job.job.queue);
     if (queue != nullptr) job.queue = *queue;
   }
@@ -223,7 +227,10 @@
       commit.departed.push_back(name);
       departing_.push_back(name);
       ++rows;
-    } else if (worker.listed && !worker.enrolled && !worker.leaving) {
+    } else if (worker.listed && !worker.enrolled && !worker.leaving &&
+               worker.clock) {
+      // The next owner waits for enrolled workers, so an entry that no worker
+      // answers for is not enrolled.
       commit.enrolled.push_back({name, worker.entry.host, worker.entry.port});
       enrolling_.push_back(name);
       ++rows;
--- a/packages/jobs/src/dispatcher_impl.h
+++ b/packages/jobs/src/dispatcher_impl.h
@@ -231,6 +231,7 @@
   std::set<JobId> live_;             ///< Jobs that have not ended.
   std::set<JobId> cancelled_early_;  ///< Cancelled before they were loaded.
   WorkerMap workers_;
+  std::set<ServiceId> services_;  ///< Of the configuration's queues.
   std::map<OrderNumber, PendingOrder> orders_;
   std::set<JobId> dirty_;
   std::vector<JobId> to_forget_;
--- a/packages/jobs/src/worker_polls.cc
+++ b/packages/jobs/src/worker_polls.cc
@@ -35,6 +35,8 @@
 
 void Dispatcher::Impl::PollWorkers(const Now& now) {
   for (auto& [name, worker] : workers_) {
+    const bool useful =
+        worker.listed && services_.contains(worker.entry.service);
     const bool needed =
         worker.listed || !worker.placed_runs.empty() || !worker.reconciled;
     if (!needed) continue;
