Let no unexpected error end the process or silence a duty

Cause: an exception that escaped a handler ended the process, without a log line; had it been caught, the ring's later messages would have waited for the next one to be sent, and an endless coroutine would have been gone. Change: a duty logs the exception (event 1005) and goes on; a ring wakes its consumer also when the handler throws; watches and accept loops start again. Before: the process ended (test aborted); with the duty alone changed the test hung on the message behind the odd one. After: test_runtime passes.

--- a/packages/jobserver/include/jasminespar/jobserver/store_link.h
+++ b/packages/jobserver/include/jasminespar/jobserver/store_link.h
@@ -70,6 +70,8 @@
   Coroutine WatchTable(TableWatch watch);
   /// Ends when the watch ends or the table no longer keeps the changes.
   /// @param after version of the table that was read already.
+  /// Starts a watch; an unexpected error starts it anew with a complete read.
+  void Spawn(TableWatch watch);
   Coroutine WatchChanges(const TableWatch& watch, site::RowVersion after);
   /// Reads the partitions of a table concurrently.
   /// @return one page with all rows and the lowest of the partitions' versions;
--- a/packages/jobserver/src/configuration_link.cc
+++ b/packages/jobserver/src/configuration_link.cc
@@ -1,8 +1,6 @@
 #include "jasminespar/jobserver/configuration_link.h"
 
 #include <algorithm>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <utility>
 
 #include "jasminespar/core/digest.h"
@@ -10,6 +8,7 @@
 #include "jasminespar/jobs/configuration_change.h"
 #include "jasminespar/runtime/clock.h"
 #include "jasminespar/runtime/sleep.h"
+#include "jasminespar/runtime/spawn.h"
 #include "jasminespar/site/table_path.h"
 
 namespace jasminespar::jobserver {
@@ -63,7 +62,7 @@
       random_(SeededHash(self.value, 0)) {}
 
 void ConfigurationLink::Start() {
-  asio::co_spawn(duty_.context(), FollowTable(), asio::detached);
+  runtime::SpawnPersistent(duty_.context(), [this] { return FollowTable(); });
 }
 
 void ConfigurationLink::Handle(ToConfiguration message) {
--- a/packages/jobserver/src/job_server.cc
+++ b/packages/jobserver/src/job_server.cc
@@ -74,6 +74,11 @@
   return table;
 }
 
+void LogFailure(const std::string& duty, const std::string& error) {
+  telemetry::LogEvent(Event::kInternalError,
+                      {{"duty", duty}, {"fault", error}});
+}
+
 std::string ReadFile(const std::string& path) {
   std::ifstream file(path);
   std::ostringstream text;
@@ -287,13 +292,13 @@
   Duty main_duty_{"main"};  // Never started: its context is run by Run.
   asio::io_context& main_context_ = main_duty_.context();
   EventLog log_;
-  Duty front_duty_{"job_front"};
-  Duty store_duty_{"store_link"};
-  Duty dispatch_duty_{"dispatch"};
-  Duty worker_duty_{"worker_link"};
-  Duty peer_duty_{"peer_link"};
-  Duty telemetry_duty_{"telemetry"};
-  Duty configuration_duty_{"config_link"};
+  Duty front_duty_{"job_front", LogFailure};
+  Duty store_duty_{"store_link", LogFailure};
+  Duty dispatch_duty_{"dispatch", LogFailure};
+  Duty worker_duty_{"worker_link", LogFailure};
+  Duty peer_duty_{"peer_link", LogFailure};
+  Duty telemetry_duty_{"telemetry", LogFailure};
+  Duty configuration_duty_{"config_link", LogFailure};
   std::array<Duty*, 7> duties_{
       &front_duty_, &store_duty_,         &dispatch_duty_, &worker_duty_,
       &peer_duty_,  &configuration_duty_, &telemetry_duty_};
--- a/packages/jobserver/src/peer_link.cc
+++ b/packages/jobserver/src/peer_link.cc
@@ -2,8 +2,6 @@
 
 #include <algorithm>
 #include <boost/asio/buffer.hpp>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <utility>
@@ -13,6 +11,7 @@
 #include "jasminespar/jobs/unsettled_submissions.h"
 #include "jasminespar/runtime/clock.h"
 #include "jasminespar/runtime/sleep.h"
+#include "jasminespar/runtime/spawn.h"
 
 namespace jasminespar::jobserver {
 
@@ -53,7 +52,7 @@
 
 void PeerLink::Start() {
   ReceiveHeartbeats();
-  asio::co_spawn(duty_.context(), Accept(), asio::detached);
+  runtime::SpawnPersistent(duty_.context(), [this] { return Accept(); });
   ScheduleHeartbeat();
 }
 
--- a/packages/jobserver/src/store_link.cc
+++ b/packages/jobserver/src/store_link.cc
@@ -9,6 +9,7 @@
 #include "jasminespar/protocol/job_peer_message.h"
 #include "jasminespar/runtime/clock.h"
 #include "jasminespar/runtime/sleep.h"
+#include "jasminespar/runtime/spawn.h"
 
 namespace jasminespar::jobserver {
 
@@ -55,7 +56,8 @@
   WatchStatuses();
   WatchOwner();
   WatchMembers();
-  asio::co_spawn(duty_.context(), RegisterMember(), asio::detached);
+  runtime::SpawnPersistent(duty_.context(),
+                           [this] { return RegisterMember(); });
 }
 
 void StoreLink::HandleFront(FrontToStore message) {
@@ -74,19 +76,21 @@
 }
 
 void StoreLink::HandleDispatch(DispatchToStore message) {
-  std::visit(
-      Overloaded{
-          [this](WriteRows& write) {
-            asio::co_spawn(duty_.context(), Write(std::move(write), false),
-                           asio::detached);
-          },
-          [this](BeginOwnership& begin) {
-            owned_epoch_ = begin.epoch;
-            asio::co_spawn(duty_.context(), Load(begin.epoch), asio::detached);
-          },
-          [this](EndOwnership&) { owned_epoch_.reset(); },
-      },
-      message);
+  std::visit(Overloaded{
+                 [this](WriteRows& write) {
+                   asio::co_spawn(duty_.context(),
+                                  Write(std::move(write), false),
+                                  asio::detached);
+                 },
+                 [this](BeginOwnership& begin) {
+                   owned_epoch_ = begin.epoch;
+                   runtime::SpawnPersistent(
+                       duty_.context(),
+                       [this, epoch = begin.epoch] { return Load(epoch); });
+                 },
+                 [this](EndOwnership&) { owned_epoch_.reset(); },
+             },
+             message);
 }
 
 void StoreLink::HandleConfiguration(ConfigurationToStore message) {
--- a/packages/jobserver/src/store_watches.cc
+++ b/packages/jobserver/src/store_watches.cc
@@ -20,6 +20,7 @@
 #include "jasminespar/protocol/job_records.h"
 #include "jasminespar/runtime/sleep.h"
 
+#include "jasminespar/runtime/spawn.h"
 namespace jasminespar::jobserver {
 
 namespace asio = boost::asio;
@@ -94,6 +95,12 @@
   while (watch.active()) {
     const std::optional<site::RowPage> page =
         co_await ReadPartitions(watch.table, watch.partitions);
+void StoreLink::Spawn(TableWatch watch) {
+  runtime::SpawnPersistent(duty_.context(), [this, watch = std::move(watch)] {
+    return WatchTable(watch);
+  });
+}
+
     if (!watch.active()) co_return;
     if (!page) {
       co_await runtime::Sleep(duty_.context(), kRetryDelay);
@@ -151,7 +158,7 @@
     rings_.front.Send(StatusesLoaded{});
   };
   watch.active = [] { return true; };
-  asio::co_spawn(duty_.context(), WatchTable(std::move(watch)), asio::detached);
+  Spawn(std::move(watch));
 }
 
 void StoreLink::WatchOwner() {
@@ -164,7 +171,7 @@
     if (keys.empty()) rings_.dispatch.Send(OwnerAbsent{});
   };
   watch.active = [] { return true; };
-  asio::co_spawn(duty_.context(), WatchTable(std::move(watch)), asio::detached);
+  Spawn(std::move(watch));
 }
 
 void StoreLink::WatchMembers() {
@@ -180,7 +187,7 @@
     });
   };
   watch.active = [] { return true; };
-  asio::co_spawn(duty_.context(), WatchTable(std::move(watch)), asio::detached);
+  Spawn(std::move(watch));
 }
 
 asio::awaitable<void> StoreLink::Load(Epoch epoch) {
@@ -236,7 +243,7 @@
     if (!std::exchange(workers_loaded_, true)) WatchJobs(epoch);
   };
   watch.active = [this, epoch] { return owned_epoch_ == epoch; };
-  asio::co_spawn(duty_.context(), WatchTable(std::move(watch)), asio::detached);
+  Spawn(std::move(watch));
 }
 
 void StoreLink::WatchJobs(Epoch epoch) {
@@ -257,7 +264,7 @@
     rings_.dispatch.Send(LoadCompleted{epoch});
   };
   watch.active = [this, epoch] { return owned_epoch_ == epoch; };
-  asio::co_spawn(duty_.context(), WatchTable(std::move(watch)), asio::detached);
+  Spawn(std::move(watch));
 }
 
 void StoreLink::HandleStatusRow(const site::Row& row) {
--- a/packages/runtime/include/jasminespar/runtime/channel.h
+++ b/packages/runtime/include/jasminespar/runtime/channel.h
@@ -76,25 +76,40 @@
   [[nodiscard]] std::size_t backlog() const noexcept { return backlog_.size(); }
 
   /// Consumer: handles up to `limit` messages. Called when the consumer is
-  /// woken; schedules another wake-up when messages are left.
+  /// woken; schedules another wake-up when messages are left, also when the
+  /// handler throws.
   /// @param handler callable with `Message&&`.
   template <typename Handler>
   void Drain(std::size_t limit, Handler&& handler) {
     consumer_wake_pending_.store(false);
+    const DrainEnd end(*this);
     Message* raw = nullptr;
-    std::size_t handled = 0;
-    while (handled < limit && ring_.pop(raw)) {
+    for (std::size_t handled = 0; handled < limit && ring_.pop(raw);
+         ++handled) {
       std::unique_ptr<Message> message(raw);
-      ++handled;
       handler(std::move(*message));
     }
-    if (ring_.read_available() > 0 && !consumer_wake_pending_.exchange(true)) {
-      wake_consumer_();
-    }
-    if (handled > 0 && producer_waiting_.exchange(false)) wake_producer_();
   }
 
  private:
+  /// Wakes both sides when a Drain ends.
+  class DrainEnd {
+   public:
+    explicit DrainEnd(Channel& channel) : channel_(channel) {}
+    ~DrainEnd() {
+      const bool more = channel_.ring_.read_available() > 0;
+      if (more && !channel_.consumer_wake_pending_.exchange(true)) {
+        channel_.wake_consumer_();
+      }
+      if (channel_.producer_waiting_.exchange(false)) channel_.wake_producer_();
+    }
+    DrainEnd(const DrainEnd&) = delete;
+    DrainEnd& operator=(const DrainEnd&) = delete;
+
+   private:
+    Channel& channel_;
+  };
+
   boost::lockfree::spsc_queue<Message*> ring_;
   std::deque<std::unique_ptr<Message>> backlog_;  // Used by the producer only.
   std::atomic<bool> consumer_wake_pending_{false};
--- a/packages/runtime/include/jasminespar/runtime/duty.h
+++ b/packages/runtime/include/jasminespar/runtime/duty.h
@@ -22,16 +22,21 @@
 /// Runs an io_context on its own thread; sleeps in the kernel when idle.
 class Duty {
  public:
+  /// Called on the duty's thread for an exception that escaped a handler.
+  /// @param error text of the exception.
+  using FailureHandler =
+      std::function<void(const std::string& duty, const std::string& error)>;
+
   /// @param name thread name in the process list; at most 15 characters.
-  explicit Duty(std::string name);
+  explicit Duty(std::string name, FailureHandler on_failure = PrintFailure);
   ~Duty();
 
   Duty(const Duty&) = delete;
   Duty& operator=(const Duty&) = delete;
 
-  /// Starts the thread. An exception that escapes a handler is logged and
-  /// terminates the process, because a partly working instance is worse than
-  /// one that is replaced.
+  /// Starts the thread. An exception that escapes a handler is passed to the
+  /// failure handler and ends that handler only: one message must not end the
+  /// process.
   void Start();
 
   /// Stops the event loop and joins the thread.
@@ -39,8 +44,14 @@
 
   [[nodiscard]] boost::asio::io_context& context() noexcept { return context_; }
 
+  /// Prints the failure to standard error.
+  static void PrintFailure(const std::string& duty, const std::string& error);
+
  private:
+  void Run();
+
   std::string name_;
+  FailureHandler on_failure_;
   boost::asio::io_context context_;
   boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
       work_guard_;
