Count the time in which the machine was suspended

Seen: report of operators: a process that had been paused for some seconds acted on a permission that had run out meanwhile. Cause: SteadyNow read std::chrono::steady_clock, which stands still while the machine is suspended; an owner that was suspended for 5 s still had its authority to start tasks when it woke, while another could have taken over. Change: SteadyNow reads CLOCK_BOOTTIME. A stand-in computed timers from it and now uses the remaining time. Asio's own timers stay on the steady clock: they run late after a suspension, and what they guard checks the time itself.

--- a/packages/runtime/include/jasminespar/runtime/clock.h
+++ b/packages/runtime/include/jasminespar/runtime/clock.h
@@ -7,15 +7,21 @@
 
 #include <chrono>
 #include <cstdint>
+#include <ctime>
 
 #include "jasminespar/core/time.h"
 
 namespace jasminespar::runtime {
 
-/// @return the monotonic time, comparable only within this process.
+/// @return the monotonic time, comparable only within this process. It goes on
+///     while the machine is suspended, unlike std::chrono::steady_clock, so
+///     that a lease or another permission also expires meanwhile.
 [[nodiscard]] inline TimePoint SteadyNow() noexcept {
+  std::timespec now{};
+  clock_gettime(CLOCK_BOOTTIME, &now);
   return TimePoint(std::chrono::duration_cast<Duration>(
-      std::chrono::steady_clock::now().time_since_epoch()));
+      std::chrono::seconds(now.tv_sec) +
+      std::chrono::nanoseconds(now.tv_nsec)));
 }
 
 /// @return milliseconds since the Unix epoch.
--- a/packages/standins/src/endpoint_service.cc
+++ b/packages/standins/src/endpoint_service.cc
@@ -30,9 +30,8 @@
   return number;
 }
 
-std::chrono::steady_clock::time_point ToSteady(TimePoint time) {
-  return std::chrono::steady_clock::time_point(time.time_since_epoch());
-}
+/// @return the time from now on, for a timer.
+Duration Until(TimePoint time) { return time - runtime::SteadyNow(); }
 
 }  // namespace
 
@@ -173,8 +172,7 @@
 }
 
 asio::awaitable<void> EndpointService::WaitForChange(TimePoint deadline) {
-  auto timer =
-      std::make_shared<asio::steady_timer>(context_, ToSteady(deadline));
+  auto timer = std::make_shared<asio::steady_timer>(context_, Until(deadline));
   waiting_reports_.insert(timer);
   boost::system::error_code ignored;
   co_await timer->async_wait(
@@ -192,7 +190,7 @@
   timer_.cancel();
   const auto next = model_.NextEventTime();
   if (!next) return;
-  timer_.expires_at(ToSteady(*next));
+  timer_.expires_after(Until(*next));
   timer_.async_wait([this](boost::system::error_code cancelled) {
     if (cancelled) return;
     model_.Advance(runtime::SteadyNow());
