Send no order whose permission ran out while it waited

Cause: the owner's authority was checked when an order was decided; the order then waited in the ring, behind others or while the process stood still. Change: an order carries the end of its permission; the worker link drops it from then on and says so. A start that was not sent is decided anew and blames no worker. An order that cannot be encoded or addressed ends unanswered instead of ending the process.

--- a/packages/jobs/include/jasminespar/jobs/messages.h
+++ b/packages/jobs/include/jasminespar/jobs/messages.h
@@ -83,8 +83,10 @@
   OrderRefusal refusal = OrderRefusal::kMalformed;
 };
 struct OrderUnanswered {};  ///< The worker may still carry it out, even later.
-using OrderOutcome =
-    std::variant<OrderAccepted, OrderRefused, OrderUnanswered, WorkerReport>;
+/// It was not sent, because its time had passed. The worker is not to blame.
+struct OrderExpired {};
+using OrderOutcome = std::variant<OrderAccepted, OrderRefused, OrderUnanswered,
+                                  OrderExpired, WorkerReport>;
 struct OrderEnded {
   OrderNumber order;
   WorkerName worker;
@@ -120,7 +122,8 @@
 };
 using WorkerOrder = std::variant<StartRun, StopRun, PollWorker>;
 
-/// Sends one order to a worker; answered with OrderEnded.
+/// Sends one order to a worker; answered with OrderEnded. The sender drops it
+/// once the owner's permission for it has run out.
 struct SendOrder {
   OrderNumber order;
   WorkerName worker;
@@ -209,8 +212,9 @@
   kUnanswered,
   kRefused,
 };
+  kExpired,
 
-inline constexpr NameTable<DecisionCause, 11> kDecisionCauseNames{{
+inline constexpr NameTable<DecisionCause, 12> kDecisionCauseNames{{
     {DecisionCause::kNone, "none", "No further cause."},
     {DecisionCause::kRoomFound, "room_found", "A worker has capacity for it."},
     {DecisionCause::kPreempted, "preempted", "A guarantee needs the capacity."},
@@ -226,6 +230,8 @@
     {DecisionCause::kUnanswered, "unanswered", "The order got no answer."},
     {DecisionCause::kRefused, "refused", "The worker refused the order."},
 }};
+    {DecisionCause::kExpired, "expired",
+     "The order waited too long in this instance and was not sent."},
 static_assert(IsDense(kDecisionCauseNames));
 
 /// A line for the log: what was decided or learned, and about what.
--- a/packages/jobs/include/jasminespar/jobs/ownership.h
+++ b/packages/jobs/include/jasminespar/jobs/ownership.h
@@ -108,6 +108,13 @@
                ? Authority::kFull
                : Authority::kRenewOnly;
   }
+  /// @return until when an order decided now may be sent, unless a write is
+  ///     confirmed meanwhile.
+  [[nodiscard]] TimePoint OrderExpiry(const WorkerOrder& order) const noexcept {
+    return confirmed_at_ + (std::holds_alternative<StartRun>(order)
+                                ? settings_.max_age_to_start
+                                : settings_.max_age_to_renew);
+  }
   [[nodiscard]] Epoch epoch() const noexcept { return row_.epoch; }
   [[nodiscard]] RowVersion version() const noexcept { return version_; }
   [[nodiscard]] const OwnerRow& row() const noexcept { return row_; }
--- a/packages/jobs/src/dispatcher.cc
+++ b/packages/jobs/src/dispatcher.cc
@@ -155,11 +155,15 @@
   WorkerState& worker = at->second;
   using Kind = PendingOrder::Kind;
   if (order.kind == Kind::kPoll) {
-    --worker.polls_in_flight;
     if (const auto* report = std::get_if<WorkerReport>(&ended.outcome)) {
       HandleReport(worker, order, *report, now);
     } else {
       HandleUnansweredPoll(worker, now);
+  if (order.kind == Kind::kPoll) --worker.polls_in_flight;
+  if (std::holds_alternative<OrderExpired>(ended.outcome)) {
+    HandleExpiredOrder(worker, order, now);
+    return;
+  }
     }
     return;
   }
--- a/packages/jobs/src/dispatcher_impl.h
+++ b/packages/jobs/src/dispatcher_impl.h
@@ -87,6 +87,9 @@
   void HandleUnansweredStart(WorkerState& worker, const PendingOrder& order,
                              const Now& now);
   void HandleStopAnswer(WorkerState& worker, const PendingOrder& order,
+  /// Handles an order that was not sent: decides anew.
+  void HandleExpiredOrder(WorkerState& worker, const PendingOrder& order,
+                          const Now& now);
                         bool accepted, const Now& now);
   /// Resends starts and stops that got no answer.
   void RetryOrders(WorkerState& worker, const Now& now);
--- a/packages/jobs/src/orders.cc
+++ b/packages/jobs/src/orders.cc
@@ -131,6 +131,28 @@
   }
 }
 
+void Dispatcher::Impl::HandleExpiredOrder(WorkerState& worker,
+                                          const PendingOrder& order,
+                                          const Now& now) {
+  if (order.kind == PendingOrder::Kind::kPoll) {
+    worker.next_poll = std::min(worker.next_poll, now.steady);
+    return;
+  }
+  const auto found = worker.placed_runs.find(order.task);
+  if (found == worker.placed_runs.end() || found->second.run != order.run)
+    return;
+  PlacedRun& placed = found->second;
+  placed.in_flight = false;
+  placed.retry_at = now.steady;  // Of a stop.
+  if (placed.phase != PlacedRunPhase::kStarting) return;
+  if (placed.start_attempts == 1) {
+    HandleLostRun(worker, order.task, DecisionCause::kExpired, now);
+  } else {
+    // An earlier attempt may still be carried out.
+    BeginStop(worker, order.task, placed, DecisionCause::kExpired, now);
+  }
+}
+
 void Dispatcher::Impl::HandleStopAnswer(WorkerState& worker,
                                         const PendingOrder& order,
                                         bool accepted, const Now& now) {
--- a/packages/jobserver/include/jasminespar/jobserver/messages.h
+++ b/packages/jobserver/include/jasminespar/jobserver/messages.h
@@ -272,6 +272,7 @@
 using ToWorkers = std::variant<ForwardOrder>;
 
 // ---- To telemetry ----
+  TimePoint expires_at;  ///< It is not sent from then on.
 
 /// A complete line of the log, with its line feed.
 struct LogLine {
--- a/packages/jobserver/src/dispatch_duty.cc
+++ b/packages/jobserver/src/dispatch_duty.cc
@@ -212,7 +212,9 @@
 }
 
 void DispatchDuty::PerformEffect(jobs::SendOrder& order) {
-  rings_.workers.Send(ForwardOrder{ownership_.epoch(), std::move(order)});
+  const TimePoint expires_at = ownership_.OrderExpiry(order.what);
+  rings_.workers.Send(
+      ForwardOrder{ownership_.epoch(), std::move(order), expires_at});
 }
 
 void DispatchDuty::PerformEffect(jobs::Commit& commit) {
--- a/packages/jobserver/src/worker_link.cc
+++ b/packages/jobserver/src/worker_link.cc
@@ -6,6 +6,7 @@
 #include "jasminespar/core/error.h"
 #include "jasminespar/core/overloaded.h"
 #include "jasminespar/runtime/clock.h"
+#include "jasminespar/telemetry/events.h"
 
 namespace jasminespar::jobserver {
 
@@ -46,18 +47,28 @@
 }
 
 asio::awaitable<void> WorkerLink::Forward(ForwardOrder forward) {
-  const std::shared_ptr<http::Client> client = ClientOf(forward.order);
-  http::Request request = codec_.encode_order(forward.order, forward.epoch);
   jobs::OrderEnded ended{forward.order.order, forward.order.worker,
                          jobs::OrderUnanswered{}};
   const Duration timeout = TimeoutOf(forward.order.what);
+  if (runtime::SteadyNow() >= forward.expires_at) {
+    ended.outcome = jobs::OrderExpired{};
+    dispatch_.Send(OrderResult{forward.epoch, std::move(ended)});
+    co_return;
+  }
   try {
+    const std::shared_ptr<http::Client> client = ClientOf(forward.order);
+    http::Request request = codec_.encode_order(forward.order, forward.epoch);
     const http::Response response =
         co_await client->Send(std::move(request), timeout);
     ended.outcome = codec_.decode_response(forward.order, response);
   } catch (const Error& error) {
     // `ended` already says that there was no answer; the dispatcher logs it.
     metrics_.CountRetry(error.reason());
+  } catch (const std::exception& error) {
+    // For example an address that a worker cannot have.
+    telemetry::LogEvent(
+        telemetry::Event::kInternalError,
+        {{"worker", forward.order.worker.value}, {"fault", error.what()}});
   }
   dispatch_.Send(OrderResult{forward.epoch, std::move(ended)});
 }
--- a/tests/jobs/silence_test.cc
+++ b/tests/jobs/silence_test.cc
@@ -76,6 +76,27 @@
   const std::string cut = StartJobOnOneWorker(fixture);
   fixture.unresponsive[cut] = true;
   fixture.Advance(6s);
+TEST_CASE("a start that was never sent is decided anew, at no one's expense") {
+  DispatcherFixture fixture;
+  fixture.AddWorker("w1");
+  fixture.FinishLoading();
+  fixture.Advance(200ms);
+  fixture.Feed(
+      JobLoaded{DispatcherFixture::Job(kJob.value, "batch",
+                                       {DispatcherFixture::Step(1, 8)}),
+                {}});
+  fixture.Advance(100ms);
+  REQUIRE(fixture.starts.size() == 1);
+  const SendOrder expired = fixture.starts.front();
+  fixture.starts.clear();
+  fixture.Answer(expired, OrderExpired{});
+  fixture.Advance(100ms);
+  CHECK(fixture.stops.empty());
+  REQUIRE(fixture.starts.size() == 1);
+  CHECK(std::get<StartRun>(fixture.starts.front().what).run >
+        std::get<StartRun>(expired.what).run);
+}
+
   fixture.unresponsive[cut] = false;
   fixture.lease_of_last_poll.clear();
   fixture.Advance(400ms);
