Bound the share of the owner's time that decisions take

Cause: each message to the owner asked for a decision, which looks at every worker and every waiting step: its cost and its number both grow with the cell, and the other duties of the process wait for their turn.

--- a/packages/jobs/src/dispatcher.cc
+++ b/packages/jobs/src/dispatcher.cc
@@ -291,7 +291,14 @@
 void Dispatcher::Impl::RemovePlacedRun(WorkerState& worker,
                                        const TaskName& name) {
   const auto found = worker.placed_runs.find(name);
-  worker.used -= found->second.need;
+  if (placed.priority == 0) {
+    urgent_use_[placed.account] += placed.need.accelerators;
+  }
+  const PlacedRun& placed = found->second;
+  worker.used -= placed.need;
+  if (placed.priority == 0) {
+    urgent_use_[placed.account] -= placed.need.accelerators;
+  }
   worker.placed_runs.erase(found);
 }
 
--- a/packages/jobs/src/dispatcher_impl.h
+++ b/packages/jobs/src/dispatcher_impl.h
@@ -234,7 +234,11 @@
   std::set<JobId> live_;             ///< Jobs that have not ended.
   std::set<JobId> cancelled_early_;  ///< Cancelled before they were loaded.
   WorkerMap workers_;
-  std::set<ServiceId> services_;  ///< Of the configuration's queues.
+  /// Workers that new work may be placed on; of the present decision only.
+  std::vector<WorkerState*> usable_;
+  /// Accelerators that runs of priority 0 occupy.
+  std::map<ClientAccountId, std::int64_t> urgent_use_;
+  TimePoint worker_list_as_of_;
   std::map<OrderNumber, PendingOrder> orders_;
   std::set<JobId> dirty_;
   std::vector<JobId> to_forget_;
--- a/packages/jobs/src/placement.cc
+++ b/packages/jobs/src/placement.cc
@@ -87,17 +87,25 @@
   return static_cast<std::uint32_t>(std::max<std::int64_t>(0, fitting));
 }
 
-std::vector<Candidate> CandidatesFor(WorkerMap& workers, const JobState& job,
-                                     const StepState& step, TimePoint now) {
+std::vector<WorkerState*> UsableWorkers(WorkerMap& workers, TimePoint now) {
+  std::vector<WorkerState*> usable;
+  for (auto& [name, worker] : workers) {
+    if (IsUsable(worker, now)) usable.push_back(&worker);
+  }
+  return usable;
+}
+
+std::vector<Candidate> CandidatesFor(std::span<WorkerState* const> usable,
+                                     const JobState& job,
+                                     const StepState& step) {
   const StepSpec& spec = job.SpecOf(step);
   std::vector<Candidate> candidates;
-  for (auto& [name, worker] : workers) {
-    if (!IsUsable(worker, now)) continue;
-    if (!IsSuited(worker, spec, job.queue.service)) continue;
-    Candidate candidate{&worker, worker.room(),
+  for (WorkerState* worker : usable) {
+    if (!IsSuited(*worker, spec, job.queue.service)) continue;
+    Candidate candidate{worker, worker->room(),
                         std::numeric_limits<std::uint32_t>::max()};
     if (spec.max_tasks_per_worker > 0) {
-      const std::uint32_t present = TasksOfStepOn(worker, job, step);
+      const std::uint32_t present = TasksOfStepOn(*worker, job, step);
       candidate.limit = spec.max_tasks_per_worker -
                         std::min(spec.max_tasks_per_worker, present);
     }
--- a/packages/jobs/src/placement.h
+++ b/packages/jobs/src/placement.h
@@ -41,12 +41,16 @@
                                          const Resources& room,
                                          std::uint32_t limit) noexcept;
 
-/// @return usable workers of the queue's service with the step's label, with
-///     their room and how many more tasks `max_tasks_per_worker` allows there.
-[[nodiscard]] std::vector<Candidate> CandidatesFor(WorkerMap& workers,
-                                                   const JobState& job,
-                                                   const StepState& step,
-                                                   TimePoint now);
+/// @return the workers that new work may be placed on.
+[[nodiscard]] std::vector<WorkerState*> UsableWorkers(WorkerMap& workers,
+                                                      TimePoint now);
+
+/// @param usable workers that new work may be placed on.
+/// @return those of the queue's service with the step's label, with their room
+///     and how many more tasks `max_tasks_per_worker` allows there.
+[[nodiscard]] std::vector<Candidate> CandidatesFor(
+    std::span<WorkerState* const> usable, const JobState& job,
+    const StepState& step);
 
 /// Places all tasks of a gang, or none.
 /// @return a worker for each task; empty if they do not all fit now.
--- a/packages/jobs/src/reclaim.cc
+++ b/packages/jobs/src/reclaim.cc
@@ -59,14 +59,8 @@
       guaranteed = account.guaranteed_accelerators;
     }
   }
-  std::int64_t used = 0;
-  for (const auto& [name, worker] : workers_) {
-    for (const auto& [task, placed] : worker.placed_runs) {
-      if (placed.priority == 0 && placed.account == job.job.account) {
-        used += placed.need.accelerators;
-      }
-    }
-  }
+  const auto use = urgent_use_.find(job.job.account);
+  const std::int64_t used = use == urgent_use_.end() ? 0 : use->second;
   const auto waiting =
       static_cast<std::int64_t>(step.tasks.size() - step.done - step.active);
   return used + waiting * job.SpecOf(step).need.accelerators <= guaranteed;
@@ -156,8 +150,7 @@
       static_cast<std::uint32_t>(step.tasks.size() - step.done - step.active);
   std::map<std::string, std::vector<Offer>> racks;
   std::vector<Offer> all;
-  for (const Candidate& candidate :
-       CandidatesFor(workers_, job, step, now.steady)) {
+  for (const Candidate& candidate : CandidatesFor(usable_, job, step)) {
     Offer offer = MakeOffer(candidate, need, tasks, now);
     racks[candidate.worker->entry.rack].push_back(offer);
     all.push_back(std::move(offer));
--- a/packages/jobs/src/run_ends.cc
+++ b/packages/jobs/src/run_ends.cc
@@ -148,12 +148,14 @@
   MarkDirty(job);
   live_.erase(job.job.id);
   for (StepState& step : job.steps) CancelPlan(job, step);
+  // The remaining members of a completed gang end on their own.
+  if (phase == JobPhase::kCompleted) return;
   for (auto& [name, worker] : workers_) {
-    for (auto& [task, placed] : worker.placed_runs) {
-      if (task.job != job.job.id) continue;
-      // The remaining members of a completed gang end on their own.
-      if (phase == JobPhase::kCompleted) continue;
-      BeginStop(worker, task, placed, DecisionCause::kCancelled, now);
+    // Runs are ordered by job.
+    auto at = worker.placed_runs.lower_bound({job.job.id, 0, 0, 0});
+    for (; at != worker.placed_runs.end(); ++at) {
+      if (at->first.job != job.job.id) break;
+      BeginStop(worker, at->first, at->second, DecisionCause::kCancelled, now);
     }
   }
 }
--- a/packages/jobs/src/starts.cc
+++ b/packages/jobs/src/starts.cc
@@ -34,6 +34,7 @@
 void Dispatcher::Impl::StartWaitingTasks(const Now& now) {
   if (configuration_ == nullptr) return;
   all_reconciled_ = all_reconciled_ || AllWorkersReconciled();
+  usable_ = UsableWorkers(workers_, now.steady);
   for (const WaitingStep& waiting : CollectWaitingSteps(now)) {
     TryStartStep(waiting, now);
   }
@@ -120,8 +121,7 @@
 std::vector<Candidate> Dispatcher::Impl::SelectCandidates(const JobState& job,
                                                           const StepState& step,
                                                           const Now& now) {
-  std::vector<Candidate> candidates =
-      CandidatesFor(workers_, job, step, now.steady);
+  std::vector<Candidate> candidates = CandidatesFor(usable_, job, step);
   const StepSpec& spec = job.SpecOf(step);
   const bool pressing = job.queue.priority == 0 || spec.long_running ||
                         job.AgeAt(now.steady) > spec.estimate;
--- a/packages/jobserver/include/jasminespar/jobserver/dispatch_duty.h
+++ b/packages/jobserver/include/jasminespar/jobserver/dispatch_duty.h
@@ -12,6 +12,7 @@
 #include <optional>
 #include <vector>
 
+#include "jasminespar/jobs/decision_pace.h"
 #include "jasminespar/jobs/dispatcher.h"
 #include "jasminespar/jobs/ownership.h"
 #include "jasminespar/jobserver/event_log.h"
@@ -71,7 +72,7 @@
   void On(DispatcherSettingsChanged& changed);
 
   void ScheduleTick();
-  /// Posts one decision for all messages that already wait.
+  /// Schedules one decision for all messages that arrive before it.
   void ScheduleDecision();
   void Tick();
   void Decide();
@@ -115,6 +116,8 @@
   boost::asio::steady_timer tick_timer_;
   jobs::Ownership ownership_;
   std::unique_ptr<jobs::Dispatcher> dispatcher_;
+  boost::asio::steady_timer decision_timer_;
+  jobs::DecisionPace pace_;
   std::shared_ptr<const jobs::ConfigurationSnapshot> configuration_;
   std::optional<OwnerWrite> in_flight_;
   std::optional<jobs::Commit> pending_commit_;
--- a/packages/jobserver/src/dispatch_duty.cc
+++ b/packages/jobserver/src/dispatch_duty.cc
@@ -1,6 +1,5 @@
 #include "jasminespar/jobserver/dispatch_duty.h"
 
-#include <boost/asio/post.hpp>
 #include <utility>
 
 #include "jasminespar/core/digest.h"
@@ -52,6 +51,7 @@
       metrics_(metrics),
       log_(rings.telemetry),
       tick_timer_(duty.context()),
+      decision_timer_(duty.context()),
       ownership_(jobs::OwnershipSettings{}, self_, RankOf(self_, memory_bytes),
                  runtime::SteadyNow()) {}
 
@@ -179,16 +179,17 @@
 
 void DispatchDuty::Tick() {
   AdvanceOwnership();
-  if (dispatcher_ != nullptr) Decide();
+  if (dispatcher_ != nullptr) ScheduleDecision();
 }
 
 void DispatchDuty::ScheduleDecision() {
   if (std::exchange(decision_scheduled_, true)) return;
-  // Posted behind the messages that already wait, so that one decision covers
-  // them all.
-  boost::asio::post(duty_.context(), [this] {
+  // Also without a delay, messages that already wait are handled first, so that
+  // one decision covers them all.
+  decision_timer_.expires_after(pace_.DelayAt(runtime::SteadyNow()));
+  decision_timer_.async_wait([this](const boost::system::error_code& error) {
     decision_scheduled_ = false;
-    if (dispatcher_ != nullptr) Decide();
+    if (!error && dispatcher_ != nullptr) Decide();
   });
 }
 
@@ -196,7 +197,9 @@
   const TimePoint begun = runtime::SteadyNow();
   PerformEffects(
       dispatcher_->Decide(ownership_.AuthorityAt(begun), CurrentTime()));
-  metrics_.Observe(Timing::kDecision, runtime::SteadyNow() - begun);
+  const TimePoint ended = runtime::SteadyNow();
+  pace_.RecordDecision(begun, ended);
+  metrics_.Observe(Timing::kDecision, ended - begun);
 }
 
 void DispatchDuty::HandleInput(jobs::DispatcherInput input) {
