Send heartbeats to a few peers instead of all

Cause: every instance sent every other one a heartbeat each 300 ms, and another for each new version: 323 a second sent and as many received at 97 instances. Change: HeartbeatTargets: up to 12 instances as before; else the peers at distances 1, 2, 4 ... on a ring, about 7 at 97. The owner, and an instance with unsettled submissions, send to all; one that the table does not serve searches 24 peers at a time, and those that the table serves reply. Only the owner's heartbeats are passed to the dispatch duty. A datagram may be as long as UDP allows: one with 24 long job ids exceeded the buffer of 1,024 bytes and its sender looked silent; 400 submissions are reported instead of 24, since a submission that is not reported is refused as not run.

--- a/packages/jobs/include/jasminespar/jobs/unsettled_submissions.h
+++ b/packages/jobs/include/jasminespar/jobs/unsettled_submissions.h
@@ -21,8 +21,9 @@
   /// Longest time after which an unanswered write may still be carried out.
   static constexpr Duration kLateWriteTimeout = 12s;
 
-  /// Most submissions that an instance reports to its peers.
-  static constexpr std::size_t kMaxReported = 24;
+  /// Most submissions that an instance reports to its peers; about as many as
+  /// a datagram of ten kilobytes holds.
+  static constexpr std::size_t kMaxReported = 400;
 
   /// Records that a submission at this instance has an unknown outcome.
   void Add(const JobId& job, TimePoint now);
--- a/packages/jobserver/include/jasminespar/jobserver/dispatch_duty.h
+++ b/packages/jobserver/include/jasminespar/jobserver/dispatch_duty.h
@@ -28,6 +28,7 @@
   struct Rings {
     runtime::Channel<DispatchToStore>& store;
     runtime::Channel<ToWorkers>& workers;
+    runtime::Channel<ToPeers>& peers;
     runtime::Channel<ToTelemetry>& telemetry;
   };
 
@@ -67,7 +68,7 @@
   void On(LoadCompleted& completed);
   void On(OrderResult& result);
   void On(WriteCompleted& completed);
-  void On(PeerHeartbeatReceived& received);
+  void On(OwnerHeartbeatReceived& received);
   void On(ReleaseCell&);
   void On(DispatcherSettingsChanged& changed);
 
--- a/packages/jobserver/include/jasminespar/jobserver/messages.h
+++ b/packages/jobserver/include/jasminespar/jobserver/messages.h
@@ -123,8 +123,8 @@
   Epoch epoch;
   jobs::OrderEnded ended;
 };
-/// A heartbeat arrived directly from a peer.
-struct PeerHeartbeatReceived {
+/// A heartbeat arrived directly from a peer that owns the cell.
+struct OwnerHeartbeatReceived {
   InstanceId instance;
 };
 /// The instance shuts down: make no claim, and release the cell if owned.
@@ -137,9 +137,9 @@
 using ToDispatch =
     std::variant<ConfigurationUpdate, CancellationFound, OwnerUpdate,
                  OwnerAbsent, TableAnswered, JobUpdate, EnrolledWorkerFound,
-                 WorkerUpdate, WorkerRemoved, LoadCompleted, OrderResult,
-                 WriteCompleted, PeerHeartbeatReceived, ReleaseCell,
-                 DispatcherSettingsChanged>;
+                 WorkerUpdate, WorkerRemoved, WorkersConfirmed, LoadCompleted,
+                 OrderResult, WriteCompleted, OwnerHeartbeatReceived,
+                 ReleaseCell, DispatcherSettingsChanged>;
 
 // ---- To the configuration link, from the peer link ----
 
@@ -238,6 +238,10 @@
 struct OwnUnsettledSubmissions {
   std::vector<jobs::JobId> jobs;
 };
+/// Whether this instance owns the cell.
+struct CellOwned {
+  bool owned = false;
+};
 /// What heartbeats are to say of this instance's configuration.
 struct OwnConfiguration {
   Revision version;
@@ -259,8 +263,8 @@
 };
 using ToPeers =
     std::variant<MemberAddress, TableDirectlyReachable, SendRelayRequest,
-                 PeerRequestServed, OwnUnsettledSubmissions, OwnConfiguration,
-                 AskPeerForConfiguration, SendConfiguration>;
+                 PeerRequestServed, OwnUnsettledSubmissions, CellOwned,
+                 OwnConfiguration, AskPeerForConfiguration, SendConfiguration>;
 
 // ---- To the worker link ----
 
--- a/packages/jobserver/include/jasminespar/jobserver/peer_link.h
+++ b/packages/jobserver/include/jasminespar/jobserver/peer_link.h
@@ -18,6 +18,7 @@
 #include <vector>
 
 #include "jasminespar/configuration/topology.h"
+#include "jasminespar/jobs/heartbeat_targets.h"
 #include "jasminespar/jobserver/event_log.h"
 #include "jasminespar/jobserver/messages.h"
 #include "jasminespar/peers/frame_connection.h"
@@ -27,6 +28,9 @@
 
 namespace jasminespar::jobserver {
 
+/// A longer UDP datagram does not exist.
+inline constexpr std::size_t kMaxDatagramBytes = 65'536;
+
 /// Runs on its duty's thread only.
 class PeerLink {
  public:
@@ -66,12 +70,17 @@
   void On(SendRelayRequest& request);
   void On(PeerRequestServed& served);
   void On(OwnUnsettledSubmissions& unsettled);
+  void On(const CellOwned& cell);
   void On(const OwnConfiguration& own);
   void On(const AskPeerForConfiguration& ask);
   void On(const SendConfiguration& send);
 
   void ScheduleHeartbeat();
+  /// Sends heartbeats to those peers that need this instance's news.
   void SendHeartbeats();
+  /// @return the peers of the heartbeats that are due now.
+  [[nodiscard]] std::vector<InstanceId> ChooseTargets();
+  [[nodiscard]] std::string EncodeHeartbeat(TimePoint now);
   void Send(const configuration::Address& address, const std::string& datagram);
   void ReceiveHeartbeats();
   void HandleHeartbeat(const std::string& datagram);
@@ -108,6 +117,7 @@
   boost::asio::ip::tcp::acceptor acceptor_;
   boost::asio::steady_timer heartbeat_timer_;
   std::map<InstanceId, Peer> peers_;
+  jobs::HeartbeatTargets targets_;
   std::map<std::uint64_t, Connection> inbound_;
   std::uint64_t last_connection_ = 0;
   InstanceId last_relay_;
@@ -116,9 +126,11 @@
   OwnConfiguration own_configuration_;
   Revision newest_at_peers_;  ///< Configuration.
   bool table_directly_reachable_ = false;
+  bool owns_cell_ = false;
+  bool had_unsettled_ = false;  ///< In the last heartbeats.
   bool relay_available_ = false;
   boost::asio::ip::udp::endpoint sender_;
-  std::array<char, 1024> datagram_{};
+  std::array<char, kMaxDatagramBytes> datagram_{};
 };
 
 }  // namespace jasminespar::jobserver
--- a/packages/jobserver/src/dispatch_duty.cc
+++ b/packages/jobserver/src/dispatch_duty.cc
@@ -153,7 +153,7 @@
   HandleOwnerWriteOutcome(completed.outcome);
 }
 
-void DispatchDuty::On(PeerHeartbeatReceived& received) {
+void DispatchDuty::On(OwnerHeartbeatReceived& received) {
   ownership_.HandlePeerHeartbeat(received.instance, runtime::SteadyNow());
 }
 
--- a/packages/jobserver/src/job_rings.h
+++ b/packages/jobserver/src/job_rings.h
@@ -34,6 +34,7 @@
         configuration_to_telemetry(capacity),
         dispatch_to_store(capacity),
         dispatch_to_workers(capacity),
+        dispatch_to_peers(capacity),
         dispatch_to_telemetry(capacity),
         workers_to_dispatch(capacity),
         main_to_front(capacity),
@@ -58,6 +59,7 @@
   runtime::Channel<ToTelemetry> configuration_to_telemetry;
   runtime::Channel<DispatchToStore> dispatch_to_store;
   runtime::Channel<ToWorkers> dispatch_to_workers;
+  runtime::Channel<ToPeers> dispatch_to_peers;
   runtime::Channel<ToTelemetry> dispatch_to_telemetry;
   runtime::Channel<ToDispatch> workers_to_dispatch;
   runtime::Channel<ToFront> main_to_front;
--- a/packages/jobserver/src/job_server.cc
+++ b/packages/jobserver/src/job_server.cc
@@ -109,7 +109,7 @@
         dispatch_(dispatch_duty_, settings.instance, settings.memory_bytes,
                   ToDispatcherSettings(settings),
                   {rings_.dispatch_to_store, rings_.dispatch_to_workers,
-                   rings_.dispatch_to_telemetry},
+                   rings_.dispatch_to_peers, rings_.dispatch_to_telemetry},
                   metrics_),
         workers_(worker_duty_, codec.worker, rings_.workers_to_dispatch,
                  metrics_),
@@ -193,6 +193,8 @@
                     telemetry_);
     ConnectConsumer(rings_.dispatch_to_workers, dispatch_duty_, worker_duty_,
                     workers_);
+    ConnectConsumer(rings_.dispatch_to_peers, dispatch_duty_, peer_duty_,
+                    peers_);
     ConnectConsumer(rings_.dispatch_to_telemetry, dispatch_duty_,
                     telemetry_duty_, telemetry_);
     ConnectConsumer(rings_.workers_to_dispatch, worker_duty_, dispatch_duty_,
--- a/packages/jobserver/src/owner_writes.cc
+++ b/packages/jobserver/src/owner_writes.cc
@@ -248,6 +248,7 @@
   pending_commit_.reset();
   dispatcher_ = std::make_unique<jobs::Dispatcher>(settings_, epoch);
   owns_ = true;
+  rings_.peers.Send(CellOwned{true});
   if (configuration_ != nullptr) {
     HandleInput(jobs::ConfigurationChanged{configuration_});
   }
@@ -266,6 +267,7 @@
   job_row_deletes_.clear();
   deletable_jobs_.clear();
   owns_ = false;
+  rings_.peers.Send(CellOwned{false});
   rings_.store.Send(EndOwnership{});
 }
 
--- a/packages/jobserver/src/peer_link.cc
+++ b/packages/jobserver/src/peer_link.cc
@@ -48,7 +48,8 @@
       log_(rings.telemetry),
       socket_(duty.context(), EndpointOf<udp>(address)),
       acceptor_(duty.context(), EndpointOf<tcp>(address)),
-      heartbeat_timer_(duty.context()) {}
+      heartbeat_timer_(duty.context()),
+      targets_(self_) {}
 
 void PeerLink::Start() {
   ReceiveHeartbeats();
@@ -62,6 +63,7 @@
 
 void PeerLink::On(const MemberAddress& member) {
   if (member.instance == self_) return;
+  targets_.Add(member.instance);
   Peer& peer = peers_[member.instance];
   if (peer.address == member.address) return;
   peer.address = member.address;
@@ -99,6 +101,8 @@
   unsettled_at_ = runtime::SteadyNow();
 }
 
+void PeerLink::On(const CellOwned& cell) { owns_cell_ = cell.owned; }
+
 void PeerLink::On(const OwnConfiguration& own) {
   const bool newer = own.version > own_configuration_.version;
   own_configuration_ = own;
@@ -134,10 +138,40 @@
   const TimePoint now = runtime::SteadyNow();
   const Duration age = now - unsettled_at_;
   if (age >= jobs::UnsettledSubmissions::kLateWriteTimeout) unsettled_.clear();
+  const std::string datagram = EncodeHeartbeat(now);
+  for (const InstanceId& instance : ChooseTargets()) {
+    Send(peers_.at(instance).address, datagram);
+  }
+  NotifyAvailability();
+  NotifyConfigurations(now);
+}
+
+std::vector<InstanceId> PeerLink::ChooseTargets() {
+  std::vector<InstanceId> chosen;
+  // All peers watch for the silence of the owner. A caller may send a
+  // submission again to any of them.
+  const bool news_for_all = owns_cell_ || !unsettled_.empty() || had_unsettled_;
+  had_unsettled_ = !unsettled_.empty();
+  if (news_for_all) {
+    for (const auto& [instance, peer] : peers_) chosen.push_back(instance);
+    return chosen;
+  }
+  chosen = targets_.neighbours();
+  if (!table_directly_reachable_) {
+    // Those that the table serves reply.
+    for (InstanceId& peer : targets_.NextSearched()) {
+      chosen.push_back(std::move(peer));
+    }
+  }
+  return chosen;
+}
+
+std::string PeerLink::EncodeHeartbeat(TimePoint now) {
   protocol::PeerHeartbeat heartbeat;
   heartbeat.instance = self_;
   heartbeat.address = address_;
   heartbeat.table_reached = table_directly_reachable_;
+  heartbeat.owns_cell = owns_cell_;
   heartbeat.unsettled = unsettled_;
   heartbeat.configuration = own_configuration_.version;
   heartbeat.watches_configuration = own_configuration_.watches_table;
@@ -145,10 +179,7 @@
   if (own_configuration_.confirmed_at) {
     heartbeat.configuration_age = now - *own_configuration_.confirmed_at;
   }
-  const std::string datagram = protocol::Encode(heartbeat);
-  for (const auto& [instance, peer] : peers_) Send(peer.address, datagram);
-  NotifyAvailability();
-  NotifyConfigurations(now);
+  return protocol::Encode(heartbeat);
 }
 
 void PeerLink::Send(const configuration::Address& address,
@@ -195,7 +226,13 @@
   peer.table_directly_reachable = heartbeat.table_reached;
   RecordConfiguration(peer, heartbeat, now);
   NotifyUnsettled(peer, heartbeat);
-  rings_.dispatch.Send(PeerHeartbeatReceived{heartbeat.instance});
+  if (heartbeat.owns_cell) {
+    rings_.dispatch.Send(OwnerHeartbeatReceived{heartbeat.instance});
+  }
+  // It looks for a peer that can relay its requests.
+  if (!heartbeat.table_reached && table_directly_reachable_) {
+    Send(peer.address, EncodeHeartbeat(now));
+  }
   NotifyAvailability();
 }
 
--- a/packages/protocol/include/jasminespar/protocol/job_peer_message.h
+++ b/packages/protocol/include/jasminespar/protocol/job_peer_message.h
@@ -20,11 +20,12 @@
 
 namespace jasminespar::protocol {
 
-/// Sent to every peer at a short interval.
+/// Sent at a short interval, to some peers or to all of them.
 struct PeerHeartbeat {
   InstanceId instance;
   configuration::Address address;  ///< Where the sender receives messages.
   bool table_reached = false;      ///< The table answers the sender.
+  bool owns_cell = false;
   /// Submitted jobs whose write by the sender may still take effect.
   std::vector<jobs::JobId> unsettled;
   Revision configuration;  ///< Version in force at the sender.
--- a/packages/protocol/src/job_peer_message.cc
+++ b/packages/protocol/src/job_peer_message.cc
@@ -88,7 +88,7 @@
 template <typename Archive>
 void serialize(Archive& archive, PeerHeartbeat& heartbeat) {
   archive(heartbeat.instance, heartbeat.address, heartbeat.table_reached,
-          heartbeat.unsettled, heartbeat.configuration,
+          heartbeat.owns_cell, heartbeat.unsettled, heartbeat.configuration,
           heartbeat.configuration_age, heartbeat.watches_configuration,
           heartbeat.configuration_read_time);
 }
--- a/tests/jobs/unsettled_submissions_test.cc
+++ b/tests/jobs/unsettled_submissions_test.cc
@@ -51,13 +51,14 @@
 
 TEST_CASE("peers are sent a limited number of submissions, the newest first") {
   UnsettledSubmissions submissions;
-  for (std::size_t i = 0; i < 2 * UnsettledSubmissions::kMaxReported; ++i) {
-    submissions.Add({"job" + std::to_string(100 + i)},
+  constexpr std::size_t kCount = 2 * UnsettledSubmissions::kMaxReported;
+  for (std::size_t i = 0; i < kCount; ++i) {
+    submissions.Add({"job" + std::to_string(i)},
                     kNow + std::chrono::milliseconds(i));
   }
   const std::vector<JobId> reported = submissions.OwnSubmissions(kNow + 1s);
   REQUIRE(reported.size() == UnsettledSubmissions::kMaxReported);
-  CHECK(reported.front().value == "job147");
+  CHECK(reported.front().value == "job" + std::to_string(kCount - 1));
   CHECK(submissions.OwnSubmissions(kNow + 13s).empty());
 }
 
