Start nothing on a list of workers that is not current

Cause: the owner read and handled the list seconds late, as its processor was in use, and went on starting on what it knew. Change: the watch says up to when it has passed on all changes; nothing starts while that time is older than 1.8 s. It waits 400 ms for a change instead of a second, so that the list is confirmed in time. Test: silence_test.cc.

--- a/packages/jobs/include/jasminespar/jobs/dispatcher.h
+++ b/packages/jobs/include/jasminespar/jobs/dispatcher.h
@@ -39,6 +39,10 @@
 }};
 static_assert(IsDense(kAuthorityNames));
 
+/// Nothing starts while the platform's list of workers is known for an earlier
+/// time only: a worker may have begun to leave since.
+inline constexpr Duration kMaxWorkerListAge = 1800ms;
+
 /// Makes the scheduling decisions of one cell during one epoch of ownership.
 /// Performs no I/O: the caller feeds inputs and carries out the returned
 /// effects in order. Not thread-safe.
--- a/packages/jobs/include/jasminespar/jobs/messages.h
+++ b/packages/jobs/include/jasminespar/jobs/messages.h
@@ -100,7 +100,8 @@
 
 using DispatcherInput =
     std::variant<ConfigurationChanged, JobLoaded, JobCancelled, WorkerListed,
-                 WorkerUnlisted, WorkerEnrolled, OrderEnded, CommitDone>;
+                 WorkerUnlisted, WorkerListConfirmed, WorkerEnrolled,
+                 OrderEnded, CommitDone>;
 
 // ---- Effects ----
 
@@ -211,8 +212,8 @@
   kNewIncarnation,
   kUnanswered,
   kRefused,
-};
   kExpired,
+};
 
 inline constexpr NameTable<DecisionCause, 12> kDecisionCauseNames{{
     {DecisionCause::kNone, "none", "No further cause."},
@@ -229,9 +230,9 @@
      "The worker restarted."},
     {DecisionCause::kUnanswered, "unanswered", "The order got no answer."},
     {DecisionCause::kRefused, "refused", "The worker refused the order."},
-}};
     {DecisionCause::kExpired, "expired",
      "The order waited too long in this instance and was not sent."},
+}};
 static_assert(IsDense(kDecisionCauseNames));
 
 /// A line for the log: what was decided or learned, and about what.
--- a/packages/jobs/src/dispatcher.cc
+++ b/packages/jobs/src/dispatcher.cc
@@ -44,7 +44,9 @@
     for (auto& [name, worker] : workers_) RetryOrders(worker, now);
     StopStalledRuns(now);
     StopIncompleteGangs(now);
-    if (authority == Authority::kFull) StartWaitingTasks(now);
+    const bool list_current =
+        now.steady - worker_list_as_of_ < kMaxWorkerListAge;
+    if (authority == Authority::kFull && list_current) StartWaitingTasks(now);
   }
   ForgetOldJobs(now);
   SendCommit(now);
@@ -52,12 +54,12 @@
 
 void Dispatcher::Impl::On(ConfigurationChanged change, const Now&) {
   configuration_ = std::move(change.configuration);
-  for (const JobId& id : live_) {
-    JobState& job = jobs_.at(id);
   services_.clear();
   for (const QueueConfiguration& queue : configuration_->content().queues) {
     services_.insert(queue.service);
   }
+  for (const JobId& id : live_) {
+    JobState& job = jobs_.at(id);
     const QueueConfiguration* queue = configuration_->FindQueue(job.job.queue);
     if (queue != nullptr) job.queue = *queue;
   }
@@ -135,6 +137,10 @@
   }
 }
 
+void Dispatcher::Impl::On(const WorkerListConfirmed& confirmed, const Now&) {
+  worker_list_as_of_ = std::max(worker_list_as_of_, confirmed.as_of);
+}
+
 void Dispatcher::Impl::On(const WorkerEnrolled& enrolled, const Now&) {
   const auto [found, added] = workers_.try_emplace(enrolled.name);
   WorkerState& worker = found->second;
@@ -154,16 +160,16 @@
   if (at == workers_.end()) return;
   WorkerState& worker = at->second;
   using Kind = PendingOrder::Kind;
-  if (order.kind == Kind::kPoll) {
-    if (const auto* report = std::get_if<WorkerReport>(&ended.outcome)) {
-      HandleReport(worker, order, *report, now);
-    } else {
-      HandleUnansweredPoll(worker, now);
   if (order.kind == Kind::kPoll) --worker.polls_in_flight;
   if (std::holds_alternative<OrderExpired>(ended.outcome)) {
     HandleExpiredOrder(worker, order, now);
     return;
   }
+  if (order.kind == Kind::kPoll) {
+    if (const auto* report = std::get_if<WorkerReport>(&ended.outcome)) {
+      HandleReport(worker, order, *report, now);
+    } else {
+      HandleUnansweredPoll(worker, now);
     }
     return;
   }
@@ -285,15 +291,15 @@
 void Dispatcher::Impl::AddPlacedRun(WorkerState& worker, const TaskName& name,
                                     PlacedRun placed) {
   worker.used += placed.need;
+  if (placed.priority == 0) {
+    urgent_use_[placed.account] += placed.need.accelerators;
+  }
   worker.placed_runs.emplace(name, std::move(placed));
 }
 
 void Dispatcher::Impl::RemovePlacedRun(WorkerState& worker,
                                        const TaskName& name) {
   const auto found = worker.placed_runs.find(name);
-  if (placed.priority == 0) {
-    urgent_use_[placed.account] += placed.need.accelerators;
-  }
   const PlacedRun& placed = found->second;
   worker.used -= placed.need;
   if (placed.priority == 0) {
--- a/packages/jobs/src/dispatcher_impl.h
+++ b/packages/jobs/src/dispatcher_impl.h
@@ -58,6 +58,7 @@
   void On(const JobCancelled& cancelled, const Now& now);
   void On(WorkerListed listed, const Now& now);
   void On(const WorkerUnlisted& unlisted, const Now& now);
+  void On(const WorkerListConfirmed& confirmed, const Now& now);
   void On(const WorkerEnrolled& enrolled, const Now& now);
   void On(OrderEnded ended, const Now& now);
   void On(const CommitDone& done, const Now& now);
@@ -86,10 +87,10 @@
                           OrderRefusal refusal, const Now& now);
   void HandleUnansweredStart(WorkerState& worker, const PendingOrder& order,
                              const Now& now);
-  void HandleStopAnswer(WorkerState& worker, const PendingOrder& order,
   /// Handles an order that was not sent: decides anew.
   void HandleExpiredOrder(WorkerState& worker, const PendingOrder& order,
                           const Now& now);
+  void HandleStopAnswer(WorkerState& worker, const PendingOrder& order,
                         bool accepted, const Now& now);
   /// Resends starts and stops that got no answer.
   void RetryOrders(WorkerState& worker, const Now& now);
@@ -230,6 +231,7 @@
   DispatcherSettings settings_;
   Epoch epoch_;
   std::shared_ptr<const ConfigurationSnapshot> configuration_;
+  std::set<ServiceId> services_;  ///< Of the configuration's queues.
   std::map<JobId, JobState> jobs_;
   std::set<JobId> live_;             ///< Jobs that have not ended.
   std::set<JobId> cancelled_early_;  ///< Cancelled before they were loaded.
--- a/packages/jobs/src/worker_polls.cc
+++ b/packages/jobs/src/worker_polls.cc
@@ -38,7 +38,7 @@
     const bool useful =
         worker.listed && services_.contains(worker.entry.service);
     const bool needed =
-        worker.listed || !worker.placed_runs.empty() || !worker.reconciled;
+        useful || !worker.placed_runs.empty() || !worker.reconciled;
     if (!needed) continue;
     const bool uncommitted = worker.processed_to != worker.durable_to;
     if (worker.polls_in_flight == 0 && now.steady >= worker.next_poll) {
--- a/packages/jobserver/include/jasminespar/jobserver/dispatch_duty.h
+++ b/packages/jobserver/include/jasminespar/jobserver/dispatch_duty.h
@@ -65,6 +65,7 @@
   void On(EnrolledWorkerFound& found);
   void On(WorkerUpdate& update);
   void On(WorkerRemoved& removed);
+  void On(WorkersConfirmed& confirmed);
   void On(LoadCompleted& completed);
   void On(OrderResult& result);
   void On(WriteCompleted& completed);
@@ -115,10 +116,10 @@
   telemetry::Metrics& metrics_;
   EventLog log_;
   boost::asio::steady_timer tick_timer_;
-  jobs::Ownership ownership_;
-  std::unique_ptr<jobs::Dispatcher> dispatcher_;
   boost::asio::steady_timer decision_timer_;
   jobs::DecisionPace pace_;
+  jobs::Ownership ownership_;
+  std::unique_ptr<jobs::Dispatcher> dispatcher_;
   std::shared_ptr<const jobs::ConfigurationSnapshot> configuration_;
   std::optional<OwnerWrite> in_flight_;
   std::optional<jobs::Commit> pending_commit_;
--- a/packages/jobserver/include/jasminespar/jobserver/messages.h
+++ b/packages/jobserver/include/jasminespar/jobserver/messages.h
@@ -84,7 +84,7 @@
 /// The table served a request; sent at a limited rate.
 struct TableAnswered {};
 
-// The next six are for the owner of `epoch`; an instance that does not own
+// The next seven are for the owner of `epoch`; an instance that does not own
 // the cell under that epoch ignores them.
 
 /// A job row was read or has changed, with its progress as loaded at a
@@ -272,11 +272,11 @@
 struct ForwardOrder {
   Epoch epoch;
   jobs::SendOrder order;
+  TimePoint expires_at;  ///< It is not sent from then on.
 };
 using ToWorkers = std::variant<ForwardOrder>;
 
 // ---- To telemetry ----
-  TimePoint expires_at;  ///< It is not sent from then on.
 
 /// A complete line of the log, with its line feed.
 struct LogLine {
--- a/packages/jobserver/include/jasminespar/jobserver/store_link.h
+++ b/packages/jobserver/include/jasminespar/jobserver/store_link.h
@@ -63,15 +63,18 @@
     /// Called after each complete read, with all keys; may be empty. A table is
     /// read completely again when it no longer keeps the changes asked for.
     std::function<void(const std::set<std::string>&)> on_loaded;
+    /// Called when all changes up to a time were passed to `on_row`; may be
+    /// empty.
+    std::function<void(TimePoint)> on_confirmed;
     /// The watch ends once this returns false.
     std::function<bool()> active;
   };
 
+  /// Starts a watch; an unexpected error starts it anew with a complete read.
+  void Spawn(TableWatch watch);
   Coroutine WatchTable(TableWatch watch);
   /// Ends when the watch ends or the table no longer keeps the changes.
   /// @param after version of the table that was read already.
-  /// Starts a watch; an unexpected error starts it anew with a complete read.
-  void Spawn(TableWatch watch);
   Coroutine WatchChanges(const TableWatch& watch, site::RowVersion after);
   /// Reads the partitions of a table concurrently.
   /// @return one page with all rows and the lowest of the partitions' versions;
@@ -101,14 +104,14 @@
   void HandleMemberRow(const site::Row& row);
   void HandleJobRow(const site::Row& row, Epoch epoch);
   void HandleWorkerRow(const site::Row& row, Epoch epoch);
+  /// Reports a listed worker as no longer listed.
+  void RemoveWorker(const std::string& name, jobs::UnlistedCause cause,
+                    Epoch epoch);
   void LogUnreadableRow(const site::Row& row, const std::string& error);
   /// Updates metrics and reachability after an attempt on the table.
   void RecordOutcome(site::TablePath path, const site::TableOutcome& outcome);
   void NotifyDirectReachability();
   void NotifyReachability();
-  /// Reports a listed worker as no longer listed.
-  void RemoveWorker(const std::string& name, jobs::UnlistedCause cause,
-                    Epoch epoch);
 
   runtime::Duty& duty_;
   MemberAddress self_;
--- a/packages/jobserver/src/store_watches.cc
+++ b/packages/jobserver/src/store_watches.cc
@@ -18,9 +18,10 @@
 #include "jasminespar/jobserver/table_layout.h"
 #include "jasminespar/protocol/job_peer_message.h"
 #include "jasminespar/protocol/job_records.h"
+#include "jasminespar/runtime/clock.h"
 #include "jasminespar/runtime/sleep.h"
-
 #include "jasminespar/runtime/spawn.h"
+
 namespace jasminespar::jobserver {
 
 namespace asio = boost::asio;
@@ -42,6 +43,9 @@
 constexpr Duration kJobInterval = 5ms;
 constexpr Duration kWorkerInterval = 400ms;
 
+/// With the interval, far shorter than jobs::kMaxWorkerListAge.
+constexpr Duration kWorkerTimeout = 400ms;
+
 constexpr Duration kRetryDelay = 100ms;
 constexpr Duration kReadTimeout = 2s;
 
@@ -91,16 +95,17 @@
   co_return std::move(reads->page);
 }
 
-asio::awaitable<void> StoreLink::WatchTable(TableWatch watch) {
-  while (watch.active()) {
-    const std::optional<site::RowPage> page =
-        co_await ReadPartitions(watch.table, watch.partitions);
 void StoreLink::Spawn(TableWatch watch) {
   runtime::SpawnPersistent(duty_.context(), [this, watch = std::move(watch)] {
     return WatchTable(watch);
   });
 }
 
+asio::awaitable<void> StoreLink::WatchTable(TableWatch watch) {
+  while (watch.active()) {
+    const TimePoint sent_at = runtime::SteadyNow();
+    const std::optional<site::RowPage> page =
+        co_await ReadPartitions(watch.table, watch.partitions);
     if (!watch.active()) co_return;
     if (!page) {
       co_await runtime::Sleep(duty_.context(), kRetryDelay);
@@ -112,6 +117,7 @@
       watch.on_row(row);
     }
     if (watch.on_loaded) watch.on_loaded(keys);
+    if (watch.on_confirmed) watch.on_confirmed(sent_at);
     co_await WatchChanges(watch, page->version);
   }
 }
@@ -119,6 +125,7 @@
 asio::awaitable<void> StoreLink::WatchChanges(const TableWatch& watch,
                                               site::RowVersion after) {
   while (watch.active()) {
+    const TimePoint sent_at = runtime::SteadyNow();
     site::Watch request{watch.table, after, watch.timeout};
     site::TableOutcome outcome = co_await client_.Send(std::move(request));
     if (!watch.active()) co_return;
@@ -135,6 +142,9 @@
                     row.key.partition) != watch.partitions.end();
       if (watched) watch.on_row(row);
     }
+    // An answer without rows shows that nothing changed during the whole wait.
+    const Duration waited = page->rows.empty() ? watch.timeout : Duration{};
+    if (watch.on_confirmed) watch.on_confirmed(sent_at + waited);
     if (!page->rows.empty()) {
       co_await runtime::Sleep(duty_.context(), watch.interval());
     }
@@ -232,6 +242,7 @@
   watch.table = std::string(codec_.operators.worker_table);
   watch.partitions = {std::string(codec_.operators.worker_partition)};
   watch.interval = [] { return kWorkerInterval; };
+  watch.timeout = kWorkerTimeout;
   watch.on_row = [this, epoch](const site::Row& row) {
     HandleWorkerRow(row, epoch);
   };
@@ -242,6 +253,9 @@
     }
     if (!std::exchange(workers_loaded_, true)) WatchJobs(epoch);
   };
+  watch.on_confirmed = [this, epoch](TimePoint as_of) {
+    rings_.dispatch.Send(WorkersConfirmed{epoch, as_of});
+  };
   watch.active = [this, epoch] { return owned_epoch_ == epoch; };
   Spawn(std::move(watch));
 }
@@ -332,12 +346,12 @@
 
 void StoreLink::HandleWorkerRow(const site::Row& row, Epoch epoch) {
   if (row.deleted) {
-    RemoveWorker(row.key.key, jobs::UnlistedCause::kUnreadable, epoch);
+    RemoveWorker(row.key.key, jobs::UnlistedCause::kDeleted, epoch);
     return;
   }
   auto decoded = codec_.operators.decode_worker(row);
   if (const auto* error = std::get_if<site::DecodeError>(&decoded)) {
-    RemoveWorker(row.key.key, jobs::UnlistedCause::kDeleted, epoch);
+    RemoveWorker(row.key.key, jobs::UnlistedCause::kUnreadable, epoch);
     LogUnreadableRow(row, error->message);
     return;
   }
@@ -346,6 +360,12 @@
       WorkerUpdate{epoch, std::move(std::get<jobs::WorkerEntry>(decoded))});
 }
 
+void StoreLink::RemoveWorker(const std::string& name, jobs::UnlistedCause cause,
+                             Epoch epoch) {
+  if (listed_workers_.erase(name) == 0) return;
+  rings_.dispatch.Send(WorkerRemoved{epoch, {{name}, cause}});
+}
+
 void StoreLink::LogUnreadableRow(const site::Row& row,
                                  const std::string& error) {
   log_.Log(Event::kRowUnreadable, {{"table", row.key.table},
@@ -355,9 +375,3 @@
 }
 
 }  // namespace jasminespar::jobserver
-void StoreLink::RemoveWorker(const std::string& name, jobs::UnlistedCause cause,
-                             Epoch epoch) {
-  if (listed_workers_.erase(name) == 0) return;
-  rings_.dispatch.Send(WorkerRemoved{epoch, {{name}, cause}});
-}
-
--- a/tests/jobs/dispatcher_fixture.h
+++ b/tests/jobs/dispatcher_fixture.h
@@ -88,6 +88,7 @@
     for (Duration passed{}; passed < duration; passed += kStep) {
       now.steady += kStep;
       now.wall.value += static_cast<std::uint64_t>(ToMilliseconds(kStep));
+      if (list_confirmed) Feed(WorkerListConfirmed{now.steady});
       ApplyEffects(dispatcher.Decide(authority, now));
     }
   }
@@ -143,6 +144,7 @@
   std::size_t largest_commit = 0;        ///< In rows.
   std::size_t most_tasks_in_commit = 0;  ///< Whose progress it holds.
   bool answer_commits = true;
+  bool list_confirmed = true;  ///< The list of workers is followed all along.
   std::uint64_t acknowledged = 0;  ///< Last ended run that a poll acknowledged.
 
  private:
--- a/tests/jobs/silence_test.cc
+++ b/tests/jobs/silence_test.cc
@@ -42,6 +42,26 @@
   CHECK(fixture.starts.front().worker.value != lost);
 }
 
+TEST_CASE("nothing starts on a list of workers that is not current") {
+  // Seen at three thousand workers: a task started on a worker that had been
+  // leaving for five seconds.
+  DispatcherFixture fixture;
+  fixture.AddWorker("w1");
+  fixture.FinishLoading();
+  fixture.Advance(200ms);
+  fixture.list_confirmed = false;
+  fixture.Advance(kMaxWorkerListAge);
+  fixture.Feed(
+      JobLoaded{DispatcherFixture::Job(kJob.value, "batch",
+                                       {DispatcherFixture::Step(1, 8)}),
+                {}});
+  fixture.Advance(1s);
+  CHECK(fixture.starts.empty());
+  fixture.list_confirmed = true;
+  fixture.Advance(100ms);
+  CHECK(fixture.starts.size() == 1);
+}
+
 TEST_CASE("a repeated stop renews no lease") {
   DispatcherFixture fixture;
   const std::string lost = StartJobOnOneWorker(fixture);
@@ -56,26 +76,6 @@
   CHECK(fixture.departed == std::vector<WorkerName>{{lost}});
 }
 
-TEST_CASE("a silent worker is sent no stop until it answers a poll") {
-  DispatcherFixture fixture;
-  const std::string lost = StartJobOnOneWorker(fixture);
-  fixture.unresponsive[lost] = true;
-  fixture.Advance(3s);
-  fixture.answer_stops_with = OrderUnanswered{};
-  fixture.Feed(JobCancelled{kJob});
-  fixture.Advance(3s);
-  CHECK(fixture.stops_sent <= 2);
-  fixture.unresponsive[lost] = false;
-  fixture.answer_stops_with.reset();
-  fixture.Advance(1s);
-  CHECK_FALSE(fixture.stops.empty());
-}
-
-TEST_CASE("the lease of a worker that answers again is renewed at once") {
-  DispatcherFixture fixture;
-  const std::string cut = StartJobOnOneWorker(fixture);
-  fixture.unresponsive[cut] = true;
-  fixture.Advance(6s);
 TEST_CASE("a start that was never sent is decided anew, at no one's expense") {
   DispatcherFixture fixture;
   fixture.AddWorker("w1");
@@ -97,6 +97,26 @@
         std::get<StartRun>(expired.what).run);
 }
 
+TEST_CASE("a silent worker is sent no stop until it answers a poll") {
+  DispatcherFixture fixture;
+  const std::string lost = StartJobOnOneWorker(fixture);
+  fixture.unresponsive[lost] = true;
+  fixture.Advance(3s);
+  fixture.answer_stops_with = OrderUnanswered{};
+  fixture.Feed(JobCancelled{kJob});
+  fixture.Advance(3s);
+  CHECK(fixture.stops_sent <= 2);
+  fixture.unresponsive[lost] = false;
+  fixture.answer_stops_with.reset();
+  fixture.Advance(1s);
+  CHECK_FALSE(fixture.stops.empty());
+}
+
+TEST_CASE("the lease of a worker that answers again is renewed at once") {
+  DispatcherFixture fixture;
+  const std::string cut = StartJobOnOneWorker(fixture);
+  fixture.unresponsive[cut] = true;
+  fixture.Advance(6s);
   fixture.unresponsive[cut] = false;
   fixture.lease_of_last_poll.clear();
   fixture.Advance(400ms);
