Judge a run's progress by its worker's reports, at its own rate

Cause: the time since the last progress was compared with the present, so a worker that answered starts but no poll (its polls were held up) lost all its runs; and five seconds were less than a percent of a long task takes on a slow worker far from its data. Change: only the time of the last report that lists the run counts; a run that needed longer for each percent so far gets three times as long.

--- a/packages/jobs/src/worker_polls.cc
+++ b/packages/jobs/src/worker_polls.cc
@@ -23,14 +23,33 @@
 /// A worker without an answer for this long is silent and gets no new work.
 constexpr Duration kSilenceTimeout = 1500ms;
 
-/// A run without progress for this long is stopped and started elsewhere.
+/// A run whose reports show no progress for this long is stopped and started
+/// elsewhere.
 constexpr Duration kStallTimeout = 5s;
 
+/// A run that has needed longer for each percent so far is given this many
+/// times as long for the next one.
+constexpr int kStallFactor = 3;
+
 /// A worker on which a run stalled gets no new work for this long.
 constexpr Duration kStallQuarantine = 6s;
 
 constexpr std::uint32_t kMaxPollsInFlight = 2;
 
+/// @return how long the run may report the same progress.
+Duration StallTimeoutOf(const PlacedRun& placed) {
+  if (placed.percent == 0 || !placed.confirmed_at) return kStallTimeout;
+  const Duration worked = placed.progressed_at - *placed.confirmed_at;
+  return std::max(kStallTimeout, kStallFactor * worked / placed.percent);
+}
+
+/// The time of the last report counts, not the present: a worker that reports
+/// nothing may be slow to answer while its runs go on.
+bool IsStalled(const PlacedRun& placed) {
+  return placed.phase == PlacedRunPhase::kRunning &&
+         placed.reported_at - placed.progressed_at >= StallTimeoutOf(placed);
+}
+
 }  // namespace
 
 void Dispatcher::Impl::PollWorkers(const Now& now) {
@@ -141,6 +160,7 @@
     confirmed.run = listed.run;
     HandleAcceptedStart(worker, confirmed, now);
   }
+  placed.reported_at = now.steady;
   if (placed.percent != listed.percent) placed.progressed_at = now.steady;
   placed.percent = listed.percent;
   if (placed.checkpoint != listed.checkpoint) placed.progressed_at = now.steady;
@@ -157,6 +177,7 @@
   placed.phase = PlacedRunPhase::kRunning;
   placed.confirmed_at = now.steady;
   placed.progressed_at = now.steady;
+  placed.reported_at = now.steady;
   placed.percent = listed.percent;
   placed.checkpoint = listed.checkpoint;
   placed.stray = task == nullptr;
@@ -224,8 +245,7 @@
   for (auto& [name, worker] : workers_) {
     if (worker.silent) continue;
     for (auto& [task, placed] : worker.placed_runs) {
-      if (placed.phase != PlacedRunPhase::kRunning) continue;
-      if (now.steady - placed.progressed_at < kStallTimeout) continue;
+      if (!IsStalled(placed)) continue;
       JobState* job = FindJob(task.job);
       if (job == nullptr || job->SpecOf(StepOf(*job, task)).long_running)
         continue;
--- a/packages/jobs/src/worker_pool.h
+++ b/packages/jobs/src/worker_pool.h
@@ -39,6 +39,8 @@
   std::string checkpoint;        ///< Latest that the worker reported.
   std::string start_checkpoint;  ///< The run resumes from it.
   TimePoint progressed_at;
+  /// Of the last report that listed the run.
+  TimePoint reported_at;
 };
 
 struct WorkerState {
--- a/tests/jobs/silence_test.cc
+++ b/tests/jobs/silence_test.cc
@@ -62,6 +62,39 @@
   CHECK(fixture.starts.size() == 1);
 }
 
+TEST_CASE("a worker that reports nothing for a while keeps its runs") {
+  // Seen on a large deployment: a worker that accepted starts while its polls
+  // stayed unanswered had all its runs stopped as if they stood still.
+  DispatcherFixture fixture;
+  const std::string slow = StartJobOnOneWorker(fixture);
+  fixture.unresponsive[slow] = true;
+  for (int second = 0; second < 7; ++second) {
+    fixture.Advance(1s);
+    const std::string id = "more" + std::to_string(second);
+    StepSpec step = DispatcherFixture::Step(1, 0);
+    step.need = {};
+    step.preferred_rack = "r1";
+    fixture.Feed(JobLoaded{DispatcherFixture::Job(id, "batch", {step}), {}});
+    fixture.Advance(100ms);
+    fixture.AcceptStarts();
+  }
+  CHECK(fixture.stops_sent == 0);
+}
+
+TEST_CASE("a run that was slow all along is not taken for one that stands") {
+  DispatcherFixture fixture;
+  const std::string worker = StartJobOnOneWorker(fixture);
+  ListedRun& run = fixture.reports[worker].runs.front();
+  for (std::uint32_t percent = 1; percent <= 3; ++percent) {
+    run.percent = percent;
+    fixture.Advance(4s);
+  }
+  fixture.Advance(4s);
+  CHECK(fixture.stops_sent == 0);
+  fixture.Advance(10s);
+  CHECK(fixture.stops_sent == 1);
+}
+
 TEST_CASE("a repeated stop renews no lease") {
   DispatcherFixture fixture;
   const std::string lost = StartJobOnOneWorker(fixture);
