--- a/tests/jobs/takeover_test.cc
+++ b/tests/jobs/takeover_test.cc
@@ -99,6 +99,18 @@
   }
 }
 
+TEST_CASE("a worker that has left is not used after a takeover") {
+  DispatcherFixture fixture;
+  // The table still has it, the platform's list does not.
+  fixture.Feed(WorkerEnrolled{{"gone"}, "127.0.0.1", 1});
+  fixture.FinishLoading();
+  fixture.Feed(JobLoaded{
+      DispatcherFixture::Job("a", "batch", {DispatcherFixture::Step(1, 1)}),
+      {}});
+  fixture.Advance(20s);
+  CHECK(fixture.starts.empty());
+}
+
 TEST_CASE("a run of an unknown job is stopped and its worker gets no work") {
   DispatcherFixture fixture(2);
   fixture.AddWorker("w1");
--- a/tests/jobserver/job_site.cc
+++ b/tests/jobserver/job_site.cc
@@ -133,6 +133,13 @@
   RunOnTableDuty([&] { table_->Put(kConfigurationKey, Encode(text)); });
 }
 
+void JobSite::PutWorkerEntry(const std::string& name, const std::string& text) {
+  const site::OperatorCodec operators = MakeCodec().operators;
+  const site::RowKey key{std::string(operators.worker_table),
+                         std::string(operators.worker_partition), name};
+  RunOnTableDuty([&] { table_->Put(key, text); });
+}
+
 void JobSite::DropHistory() {
   RunOnTableDuty([this] { table_->DropHistory(); });
 }
--- a/tests/jobserver/job_site.h
+++ b/tests/jobserver/job_site.h
@@ -48,6 +48,9 @@
   void PutConfiguration(const SiteText& text);
   void DropHistory();
 
+  /// Writes an entry into the platform's list of workers.
+  void PutWorkerEntry(const std::string& name, const std::string& text);
+
   /// @return whether the instance served the queue before the time ran out.
   [[nodiscard]] bool WaitUntilServed(std::size_t instance,
                                      const std::string& queue);
