Give urgent work the workers that are fast

Cause: a third of the large site's workers take 1.3 times as long for the same work, and nothing told them apart: an urgent job of one gang is as slow as its slowest member, and its objective leaves half a run time of slack. Ruled out: the progress percentages of reports, which are whole numbers and up to two seconds old. Urgent work uses slow workers only if the others have no room, and never waits for fast ones; other work takes slow empty workers first.

--- a/packages/jobs/src/placement.cc
+++ b/packages/jobs/src/placement.cc
@@ -1,8 +1,10 @@
 #include "placement.h"
 
 #include <algorithm>
+#include <iterator>
 #include <limits>
 #include <string>
+#include <tuple>
 
 namespace jasminespar::jobs {
 
@@ -35,7 +37,8 @@
                                            std::uint32_t tasks) {
   std::stable_sort(group.begin(), group.end(),
                    [](const Candidate& a, const Candidate& b) {
-                     return WeightOf(a.room) < WeightOf(b.room);
+                     return std::pair(WeightOf(a.room), !a.slow) <
+                            std::pair(WeightOf(b.room), !b.slow);
                    });
   std::vector<WorkerState*> chosen;
   for (const Candidate& candidate : group) {
@@ -103,7 +106,8 @@
   for (WorkerState* worker : usable) {
     if (!IsSuited(*worker, spec, job.queue.service)) continue;
     Candidate candidate{worker, worker->room(),
-                        std::numeric_limits<std::uint32_t>::max()};
+                        std::numeric_limits<std::uint32_t>::max(),
+                        worker->speed.slow()};
     if (spec.max_tasks_per_worker > 0) {
       const std::uint32_t present = TasksOfStepOn(*worker, job, step);
       candidate.limit = spec.max_tasks_per_worker -
@@ -116,6 +120,15 @@
 
 std::vector<WorkerState*> PlaceGang(std::vector<Candidate> candidates,
                                     const PlacementRequest& request) {
+  if (request.urgent) {
+    PlacementRequest any = request;
+    any.urgent = false;
+    std::vector<Candidate> fast;
+    std::copy_if(candidates.begin(), candidates.end(), std::back_inserter(fast),
+                 [](const Candidate& each) { return !each.slow; });
+    std::vector<WorkerState*> chosen = PlaceGang(std::move(fast), any);
+    if (!chosen.empty()) return chosen;
+  }
   const StepSpec& spec = *request.spec;
   const Resources need = NeedOf(spec);
   std::erase_if(candidates, [&](const Candidate& candidate) {
@@ -149,15 +162,16 @@
   const StepSpec& spec = *request.spec;
   const Resources need = NeedOf(spec);
   Candidate* best = nullptr;
-  auto best_key = std::pair<int, std::int64_t>{};
+  auto best_key = std::tuple<int, bool, std::int64_t, bool>{};
   for (Candidate& candidate : candidates) {
     if (CountFitting(need, candidate.room, candidate.limit) == 0) continue;
     const bool home = spec.preferred_rack.empty() ||
                       candidate.worker->entry.rack == spec.preferred_rack;
     if (!home && !request.other_racks_allowed) continue;
     const bool avoided = candidate.worker->entry.name == request.avoid;
-    const std::pair<int, std::int64_t> key{(avoided ? 2 : 0) + (home ? 0 : 1),
-                                           WeightOf(candidate.room)};
+    const std::tuple key{(avoided ? 2 : 0) + (home ? 0 : 1),
+                         request.urgent && candidate.slow,
+                         WeightOf(candidate.room), !candidate.slow};
     if (best != nullptr && best_key <= key) continue;
     best = &candidate;
     best_key = key;
--- a/packages/jobs/src/placement.h
+++ b/packages/jobs/src/placement.h
@@ -22,6 +22,7 @@
   WorkerState* worker = nullptr;
   Resources room;           ///< Still available.
   std::uint32_t limit = 0;  ///< Most further tasks of the step.
+  bool slow = false;        ///< Other workers take less time.
 };
 
 struct PlacementRequest {
@@ -31,6 +32,9 @@
   /// rack for a gang that prefers one.
   bool other_racks_allowed = true;
   WorkerName avoid;  ///< Used only if no other worker has room; may be empty.
+  /// Slow workers are used only if the others have no room. Other work leaves
+  /// the fast ones to urgent work where that costs it nothing.
+  bool urgent = false;
 };
 
 /// @return the resources that a task of the step occupies on a worker.
--- a/packages/jobs/src/starts.cc
+++ b/packages/jobs/src/starts.cc
@@ -129,6 +129,9 @@
   const auto empty = [](const Candidate& candidate) {
     return candidate.worker->placed_runs.empty();
   };
+  // The workers that are kept are fast ones, if possible.
+  std::stable_partition(candidates.begin(), candidates.end(),
+                        [](const Candidate& each) { return each.slow; });
   const auto kept = static_cast<std::ptrdiff_t>(
       std::floor(kReservedShare * static_cast<double>(candidates.size())));
   std::ptrdiff_t spare =
@@ -142,9 +145,9 @@
 bool Dispatcher::Impl::StartGang(JobState& job, StepState& step,
                                  const Now& now) {
   const auto tasks = static_cast<std::uint32_t>(step.tasks.size());
-  PlacementRequest request{&job.SpecOf(step), tasks,
-                           MayUseOtherRacks(job, step, tasks, now),
-                           step.tasks.front().failed_on};
+  PlacementRequest request{
+      &job.SpecOf(step), tasks, MayUseOtherRacks(job, step, tasks, now),
+      step.tasks.front().failed_on, job.queue.priority == 0};
   const std::vector<WorkerState*> chosen =
       PlaceGang(SelectCandidates(job, step, now), request);
   if (chosen.empty()) return false;
@@ -158,8 +161,11 @@
 bool Dispatcher::Impl::StartTasks(JobState& job, StepState& step,
                                   const Now& now) {
   std::vector<Candidate> candidates = SelectCandidates(job, step, now);
-  PlacementRequest request{
-      &job.SpecOf(step), 1, MayUseOtherRacks(job, step, 1, now), {}};
+  PlacementRequest request{&job.SpecOf(step),
+                           1,
+                           MayUseOtherRacks(job, step, 1, now),
+                           {},
+                           job.queue.priority == 0};
   for (std::uint32_t i = 0; i < step.tasks.size(); ++i) {
     if (step.tasks[i].phase != TaskPhase::kWaiting) continue;
     request.avoid = step.tasks[i].failed_on;
