Try no placement twice in a decision, look at runs only when needed

Cause: each waiting step looked at every worker, also if a step that needs no more had found no place before it; retries and stalled runs were looked for in every run at every decision. Change: UnplacedShapes; a worker without open orders is skipped; progress is checked every 500 ms.

--- a/packages/jobs/src/dispatcher.cc
+++ b/packages/jobs/src/dispatcher.cc
@@ -294,6 +294,7 @@
   if (placed.priority == 0) {
     urgent_use_[placed.account] += placed.need.accelerators;
   }
+  worker.has_open_orders = true;
   worker.placed_runs.emplace(name, std::move(placed));
 }
 
--- a/packages/jobs/src/dispatcher_impl.h
+++ b/packages/jobs/src/dispatcher_impl.h
@@ -17,6 +17,7 @@
 #include "jasminespar/jobs/dispatcher.h"
 #include "job_table.h"
 #include "placement.h"
+#include "unplaced_shapes.h"
 #include "worker_pool.h"
 
 namespace jasminespar::jobs {
@@ -166,6 +167,14 @@
   /// Starts waiting tasks of a step, or reclaims room for them if they are
   /// guaranteed.
   void TryStartStep(const WaitingStep& waiting, const Now& now);
+  /// @return whether the step's tasks may use the workers that are kept idle
+  ///     for urgent work.
+  [[nodiscard]] static bool IsPressing(const JobState& job,
+                                       const StepSpec& spec, const Now& now);
+  [[nodiscard]] static TaskShape ShapeOf(const JobState& job,
+                                         const StepSpec& spec,
+                                         const PlacementRequest& request,
+                                         const Now& now);
   /// @return workers for the step, without the idle ones that are kept for
   ///     urgent work.
   [[nodiscard]] std::vector<Candidate> SelectCandidates(const JobState& job,
@@ -241,6 +250,7 @@
   WorkerMap workers_;
   /// Workers that new work may be placed on; of the present decision only.
   std::vector<WorkerState*> usable_;
+  UnplacedShapes unplaced_;  ///< Of the present decision only.
   /// Accelerators that runs of priority 0 occupy.
   std::map<ClientAccountId, std::int64_t> urgent_use_;
   TimePoint worker_list_as_of_;
@@ -256,6 +266,7 @@
   std::uint64_t last_commit_ = 0;
   std::uint64_t last_run_ = 0;
   TimePoint loaded_at_;
+  TimePoint next_stall_check_;
   std::vector<DispatcherEffect> effects_;
 };
 
--- a/packages/jobs/src/orders.cc
+++ b/packages/jobs/src/orders.cc
@@ -175,6 +175,10 @@
 
 void Dispatcher::Impl::RetryOrders(WorkerState& worker, const Now& now) {
   if (worker.silent) return;  // Polls show when it answers again.
+  if (!worker.has_open_orders) return;
+  worker.has_open_orders = std::any_of(
+      worker.placed_runs.begin(), worker.placed_runs.end(),
+      [](const auto& entry) { return entry.second.HasOpenOrder(); });
   for (auto& [name, placed] : worker.placed_runs) {
     if (placed.in_flight || now.steady < placed.retry_at) continue;
     if (placed.phase == PlacedRunPhase::kStarting) {
--- a/packages/jobs/src/run_ends.cc
+++ b/packages/jobs/src/run_ends.cc
@@ -194,6 +194,7 @@
                                  const Now& now) {
   if (placed.phase == PlacedRunPhase::kStopping) return;
   placed.phase = PlacedRunPhase::kStopping;
+  worker.has_open_orders = true;
   placed.in_flight = false;
   placed.retry_at = now.steady;
   LogRunDecision(DecisionKind::kStop, cause, name, worker.entry.name,
--- a/packages/jobs/src/starts.cc
+++ b/packages/jobs/src/starts.cc
@@ -35,6 +35,7 @@
   if (configuration_ == nullptr) return;
   all_reconciled_ = all_reconciled_ || AllWorkersReconciled();
   usable_ = UsableWorkers(workers_, now.steady);
+  unplaced_.Clear();
   for (const WaitingStep& waiting : CollectWaitingSteps(now)) {
     TryStartStep(waiting, now);
   }
@@ -118,14 +119,34 @@
   Reclaim(job, step, now);
 }
 
+bool Dispatcher::Impl::IsPressing(const JobState& job, const StepSpec& spec,
+                                  const Now& now) {
+  return job.queue.priority == 0 || spec.long_running ||
+         job.AgeAt(now.steady) > spec.estimate;
+}
+
+TaskShape Dispatcher::Impl::ShapeOf(const JobState& job, const StepSpec& spec,
+                                    const PlacementRequest& request,
+                                    const Now& now) {
+  TaskShape shape;
+  shape.service = job.queue.service;
+  shape.label = spec.required_label;
+  if (!request.other_racks_allowed) {
+    shape.rack = spec.preferred_rack;
+    shape.one_rack = spec.prefers_one_rack;
+  }
+  shape.spares_idle_workers = !IsPressing(job, spec, now);
+  shape.need = NeedOf(spec);
+  shape.tasks = request.tasks;
+  return shape;
+}
+
 std::vector<Candidate> Dispatcher::Impl::SelectCandidates(const JobState& job,
                                                           const StepState& step,
                                                           const Now& now) {
   std::vector<Candidate> candidates = CandidatesFor(usable_, job, step);
   const StepSpec& spec = job.SpecOf(step);
-  const bool pressing = job.queue.priority == 0 || spec.long_running ||
-                        job.AgeAt(now.steady) > spec.estimate;
-  if (pressing) return candidates;
+  if (IsPressing(job, spec, now)) return candidates;
   const auto empty = [](const Candidate& candidate) {
     return candidate.worker->placed_runs.empty();
   };
@@ -148,9 +169,16 @@
   PlacementRequest request{
       &job.SpecOf(step), tasks, MayUseOtherRacks(job, step, tasks, now),
       step.tasks.front().failed_on, job.queue.priority == 0};
+  TaskShape shape = ShapeOf(job, job.SpecOf(step), request, now);
+  if (unplaced_.Covers(shape)) return false;
   const std::vector<WorkerState*> chosen =
       PlaceGang(SelectCandidates(job, step, now), request);
-  if (chosen.empty()) return false;
+  if (chosen.empty()) {
+    // The limit of tasks on one worker is this step's own.
+    const bool limited = job.SpecOf(step).max_tasks_per_worker > 0;
+    if (!limited) unplaced_.Add(std::move(shape));
+    return false;
+  }
   const RunNumber run = NextRun();
   for (std::uint32_t i = 0; i < tasks; ++i) {
     StartTask(job, step, i, *chosen[i], run, now);
@@ -160,17 +188,24 @@
 
 bool Dispatcher::Impl::StartTasks(JobState& job, StepState& step,
                                   const Now& now) {
-  std::vector<Candidate> candidates = SelectCandidates(job, step, now);
   PlacementRequest request{&job.SpecOf(step),
                            1,
                            MayUseOtherRacks(job, step, 1, now),
                            {},
                            job.queue.priority == 0};
+  TaskShape shape = ShapeOf(job, job.SpecOf(step), request, now);
+  if (unplaced_.Covers(shape)) return false;
+  std::vector<Candidate> candidates = SelectCandidates(job, step, now);
   for (std::uint32_t i = 0; i < step.tasks.size(); ++i) {
     if (step.tasks[i].phase != TaskPhase::kWaiting) continue;
     request.avoid = step.tasks[i].failed_on;
     WorkerState* worker = PlaceTask(candidates, request);
-    if (worker == nullptr) return false;
+    if (worker == nullptr) {
+      // The limit of tasks on one worker is this step's own.
+      const bool limited = job.SpecOf(step).max_tasks_per_worker > 0;
+      if (!limited) unplaced_.Add(std::move(shape));
+      return false;
+    }
     StartTask(job, step, i, *worker, NextRun(), now);
   }
   return true;
--- a/packages/jobs/src/worker_polls.cc
+++ b/packages/jobs/src/worker_polls.cc
@@ -27,6 +27,9 @@
 /// elsewhere.
 constexpr Duration kStallTimeout = 5s;
 
+/// Between two looks at the progress of all runs.
+constexpr Duration kStallCheckInterval = 500ms;
+
 /// A run that has needed longer for each percent so far is given this many
 /// times as long for the next one.
 constexpr int kStallFactor = 3;
@@ -243,6 +246,8 @@
 }
 
 void Dispatcher::Impl::StopStalledRuns(const Now& now) {
+  if (now.steady < next_stall_check_) return;
+  next_stall_check_ = now.steady + kStallCheckInterval;
   for (auto& [name, worker] : workers_) {
     if (worker.silent) continue;
     for (auto& [task, placed] : worker.placed_runs) {
--- a/packages/jobs/src/worker_pool.h
+++ b/packages/jobs/src/worker_pool.h
@@ -42,6 +42,12 @@
   TimePoint progressed_at;
   /// Of the last report that listed the run.
   TimePoint reported_at;
+
+  /// @return whether the worker has not yet confirmed its start or its stop.
+  [[nodiscard]] bool HasOpenOrder() const noexcept {
+    return phase == PlacedRunPhase::kStarting ||
+           (phase == PlacedRunPhase::kStopping && !stop_confirmed_at);
+  }
 };
 
 struct WorkerState {
@@ -78,6 +84,8 @@
   Resources used;      ///< By `placed_runs`.
   Resources reserved;  ///< By reclaim plans, for runs that have not started.
   std::map<TaskName, PlacedRun> placed_runs;
+  /// Some placed run may have an open order.
+  bool has_open_orders = false;
 
   /// @return resources neither used nor reserved, for tasks without a plan.
   [[nodiscard]] Resources room() const noexcept {
