Tell callers to wait longer the longer the table has been away

Told to return after a second each time, those refused first had used up their retries after 5 s. Change: RetryAdvice: about as long as the outage has lasted, 1 to 4 s; callers return spread over a second once it has lasted one.

--- a/packages/jobserver/include/jasminespar/jobserver/job_front.h
+++ b/packages/jobserver/include/jasminespar/jobserver/job_front.h
@@ -15,6 +15,7 @@
 
 #include "jasminespar/configuration/topology.h"
 #include "jasminespar/http/server.h"
+#include "jasminespar/jobs/retry_advice.h"
 #include "jasminespar/jobs/unsettled_submissions.h"
 #include "jasminespar/jobserver/event_log.h"
 #include "jasminespar/jobserver/messages.h"
@@ -122,6 +123,7 @@
   jobs::UnsettledSubmissions unsettled_;
   runtime::ReplyTable<site::TableOutcome> writes_;
   runtime::ReplyTable<site::TableOutcome> reads_;
+  jobs::RetryAdvice retry_advice_;
   bool statuses_loaded_ = false;
   bool table_reachable_ = true;
   bool draining_ = false;
--- a/packages/jobserver/src/job_front.cc
+++ b/packages/jobserver/src/job_front.cc
@@ -39,8 +39,6 @@
 /// its message.
 constexpr Duration kReplyMargin = 50ms;
 
-constexpr std::string_view kRetryAfterSeconds = "1";
-
 http::Response JsonResponse(std::string body) {
   http::Response response;
   response.status = kOk;
@@ -140,6 +138,7 @@
 
 void JobFront::On(const TableReachable& table) {
   table_reachable_ = table.reachable;
+  retry_advice_.HandleReachable(table.reachable, runtime::SteadyNow());
   // Closing makes callers reconnect, and the balancer directs new connections
   // to other instances.
   server_.CloseAfterResponses(!table_reachable_ || draining_);
@@ -372,6 +371,7 @@
 http::Response JobFront::Refuse(Reason reason, const jobs::JobId& id,
                                 const std::string& detail, TimePoint arrived) {
   metrics_.CountRefusal(reason);
+  const TimePoint now = runtime::SteadyNow();
   const std::uint64_t version =
       configuration_ == nullptr ? 0 : configuration_->version().value;
   log_.Log(reason == Reason::kOutcomeUnknown ? Event::kJobAnswerUnknown
@@ -380,14 +380,14 @@
             {"reason", NameOf(reason)},
             {"detail", detail},
             {"version", version},
-            {"took_ms", ToMilliseconds(runtime::SteadyNow() - arrived)}});
+            {"took_ms", ToMilliseconds(now - arrived)}});
   http::Response response;
   response.status = HttpStatusOf(reason);
   response.headers.push_back({"Content-Type", "application/json"});
   if (reason == Reason::kStoreUnavailable ||
       reason == Reason::kNoConfiguration) {
-    response.headers.push_back(
-        {"Retry-After", std::string(kRetryAfterSeconds)});
+    const auto wait = retry_advice_.WaitOf(id, now);
+    response.headers.push_back({"Retry-After", std::to_string(wait.count())});
   }
   response.body = "{\"reason\":\"" + std::string(NameOf(reason)) + "\"}";
   return response;
