Prefer workers by speed only where they have the same room

Urgent gangs opened empty workers although a slow one that was in use had room, which larger tasks then lacked. Change: the speed decides between workers with the same room only.

--- a/packages/jobs/src/placement.cc
+++ b/packages/jobs/src/placement.cc
@@ -1,7 +1,6 @@
 #include "placement.h"
 
 #include <algorithm>
-#include <iterator>
 #include <limits>
 #include <string>
 #include <tuple>
@@ -31,23 +30,34 @@
 
 using Group = std::vector<Candidate>;
 
-/// Fills the workers with the least room first.
+/// @return whether the worker is of the speed that the request rather leaves to
+///     others: slow for urgent work, fast for other work.
+bool IsOfOtherSpeed(const Candidate& candidate,
+                    const PlacementRequest& request) {
+  return candidate.slow == request.urgent;
+}
+
+/// Fills the workers with the least room first, so that tasks that need a whole
+/// worker find one.
 /// @return a worker for each task; empty if they do not all fit.
-std::vector<WorkerState*> FillFullestFirst(Group group, const Resources& need,
-                                           std::uint32_t tasks) {
+std::vector<WorkerState*> FillFullestFirst(Group group,
+                                           const PlacementRequest& request) {
+  const Resources need = NeedOf(*request.spec);
+  const auto key = [&request](const Candidate& each) {
+    return std::pair(WeightOf(each.room), IsOfOtherSpeed(each, request));
+  };
   std::stable_sort(group.begin(), group.end(),
-                   [](const Candidate& a, const Candidate& b) {
-                     return std::pair(WeightOf(a.room), !a.slow) <
-                            std::pair(WeightOf(b.room), !b.slow);
+                   [&key](const Candidate& a, const Candidate& b) {
+                     return key(a) < key(b);
                    });
   std::vector<WorkerState*> chosen;
   for (const Candidate& candidate : group) {
     std::uint32_t fitting = CountFitting(need, candidate.room, candidate.limit);
-    while (fitting-- > 0 && chosen.size() < tasks) {
+    while (fitting-- > 0 && chosen.size() < request.tasks) {
       chosen.push_back(candidate.worker);
     }
   }
-  if (chosen.size() < tasks) chosen.clear();
+  if (chosen.size() < request.tasks) chosen.clear();
   return chosen;
 }
 
@@ -120,15 +130,6 @@
 
 std::vector<WorkerState*> PlaceGang(std::vector<Candidate> candidates,
                                     const PlacementRequest& request) {
-  if (request.urgent) {
-    PlacementRequest any = request;
-    any.urgent = false;
-    std::vector<Candidate> fast;
-    std::copy_if(candidates.begin(), candidates.end(), std::back_inserter(fast),
-                 [](const Candidate& each) { return !each.slow; });
-    std::vector<WorkerState*> chosen = PlaceGang(std::move(fast), any);
-    if (!chosen.empty()) return chosen;
-  }
   const StepSpec& spec = *request.spec;
   const Resources need = NeedOf(spec);
   std::erase_if(candidates, [&](const Candidate& candidate) {
@@ -138,7 +139,7 @@
   if (!spec.preferred_rack.empty()) {
     const Group& home = racks[spec.preferred_rack];
     if (CountFitting(home, need) >= request.tasks) {
-      return FillFullestFirst(home, need, request.tasks);
+      return FillFullestFirst(home, request);
     }
     if (!request.other_racks_allowed) return {};
   }
@@ -152,9 +153,9 @@
     best = &group;
     best_count = count;
   }
-  if (best != nullptr) return FillFullestFirst(*best, need, request.tasks);
+  if (best != nullptr) return FillFullestFirst(*best, request);
   if (spec.prefers_one_rack && !request.other_racks_allowed) return {};
-  return FillFullestFirst(std::move(candidates), need, request.tasks);
+  return FillFullestFirst(std::move(candidates), request);
 }
 
 WorkerState* PlaceTask(std::span<Candidate> candidates,
@@ -162,7 +163,7 @@
   const StepSpec& spec = *request.spec;
   const Resources need = NeedOf(spec);
   Candidate* best = nullptr;
-  auto best_key = std::tuple<int, bool, std::int64_t, bool>{};
+  auto best_key = std::tuple<int, std::int64_t, bool>{};
   for (Candidate& candidate : candidates) {
     if (CountFitting(need, candidate.room, candidate.limit) == 0) continue;
     const bool home = spec.preferred_rack.empty() ||
@@ -170,8 +171,8 @@
     if (!home && !request.other_racks_allowed) continue;
     const bool avoided = candidate.worker->entry.name == request.avoid;
     const std::tuple key{(avoided ? 2 : 0) + (home ? 0 : 1),
-                         request.urgent && candidate.slow,
-                         WeightOf(candidate.room), !candidate.slow};
+                         WeightOf(candidate.room),
+                         IsOfOtherSpeed(candidate, request)};
     if (best != nullptr && best_key <= key) continue;
     best = &candidate;
     best_key = key;
--- a/packages/jobs/src/placement.h
+++ b/packages/jobs/src/placement.h
@@ -32,8 +32,8 @@
   /// rack for a gang that prefers one.
   bool other_racks_allowed = true;
   WorkerName avoid;  ///< Used only if no other worker has room; may be empty.
-  /// Slow workers are used only if the others have no room. Other work leaves
-  /// the fast ones to urgent work where that costs it nothing.
+  /// Of workers with the same room, urgent work takes fast ones and other work
+  /// slow ones.
   bool urgent = false;
 };
 
