--- a/packages/jobserver/include/jasminespar/jobserver/peer_link.h
+++ b/packages/jobserver/include/jasminespar/jobserver/peer_link.h
@@ -28,6 +28,9 @@
 
 namespace jasminespar::jobserver {
 
+/// A peer without a heartbeat for this long gets no requests to relay.
+inline constexpr Duration kSuspectTimeout = 1s;
+
 /// A longer UDP datagram does not exist.
 inline constexpr std::size_t kMaxDatagramBytes = 65'536;
 
