Take out the preference for fast workers

What it costs was not traced further. Also: bench_owner_cost measures no decoding, as the platform's names stay in platform/; an unused member of the front goes.

--- a/benchmark/owner_cost.cc
+++ b/benchmark/owner_cost.cc
@@ -18,7 +18,6 @@
 #include <vector>
 
 #include "jasminespar/core/overloaded.h"
-#include "jasminespar/fleet/fleet_codec.h"
 #include "jasminespar/jobs/dispatcher.h"
 
 namespace jasminespar::benchmark {
@@ -169,27 +168,6 @@
   std::map<jobs::WorkerName, std::vector<jobs::ListedRun>> runs_;
 };
 
-/// @return the time to decode a report of eight runs, in microseconds.
-double DecodeTime(int rounds) {
-  std::string body = R"({"clock_ms":482113,"born":1790000000000,)"
-                     R"("finished":[],"running_count":[)";
-  for (int i = 0; i < 8; ++i) {
-    body += (i == 0 ? "" : ",") + std::string("[\"5c0e7a21d94b36f8.0.1.") +
-            std::to_string(i) + "\",1048576,\"\",41,2800]";
-  }
-  http::Response response;
-  response.status = 200;
-  response.body = body + "]}";
-  jobs::SendOrder poll;
-  poll.what = jobs::PollWorker{};
-  const site::SiteCodec codec = fleet::MakeFleetCodec();
-  const Clock::time_point begun = Clock::now();
-  for (int i = 0; i < rounds; ++i) {
-    static_cast<void>(codec.worker.decode_response(poll, response));
-  }
-  return MicrosecondsSince(begun) / rounds;
-}
-
 void Measure(std::size_t workers, int rounds) {
   BusyCell cell(workers);
   double report = 0;
@@ -202,9 +180,6 @@
 }
 
 void Run(int rounds) {
-  constexpr int kDecodes = 100;
-  std::printf("# decode a report of 8 runs: %.1f us\n",
-              DecodeTime(rounds * kDecodes));
   std::printf("workers,report_us,decision_us\n");
   for (const std::size_t workers : {50, 100, 300, 540, 1000, 3000}) {
     Measure(workers, rounds);
--- a/packages/jobs/src/dispatcher_impl.h
+++ b/packages/jobs/src/dispatcher_impl.h
@@ -124,9 +124,6 @@
 
   // run_ends.cc: ended and lost runs, ends of jobs.
   void HandleRunEnd(WorkerState& worker, const EndedRun& end, const Now& now);
-  /// Compares the run time of a completed run with those of its step.
-  void CompareRunTime(WorkerState& worker, const JobState& job, StepState& step,
-                      const PlacedRun& run, const Now& now);
   void HandleFailedRun(WorkerState& worker, JobState& job, StepState& step,
                        const EndedRun& end, const Now& now);
   /// Marks the task, or its whole gang, as done; completes the job if it was
--- a/packages/jobs/src/job_table.h
+++ b/packages/jobs/src/job_table.h
@@ -12,7 +12,6 @@
 #include <vector>
 
 #include "jasminespar/jobs/messages.h"
-#include "worker_speed.h"
 
 namespace jasminespar::jobs {
 
@@ -39,7 +38,6 @@
   std::vector<WorkerName> plan;
   TimePoint planned_at;
   TimePoint next_reclaim;
-  StepRunTimes run_times;
 
   [[nodiscard]] bool finished() const noexcept { return done == tasks.size(); }
   [[nodiscard]] bool waiting() const noexcept {
--- a/packages/jobs/src/placement.cc
+++ b/packages/jobs/src/placement.cc
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <limits>
 #include <string>
-#include <tuple>
 
 namespace jasminespar::jobs {
 
@@ -30,34 +29,22 @@
 
 using Group = std::vector<Candidate>;
 
-/// @return whether the worker is of the speed that the request rather leaves to
-///     others: slow for urgent work, fast for other work.
-bool IsOfOtherSpeed(const Candidate& candidate,
-                    const PlacementRequest& request) {
-  return candidate.slow == request.urgent;
-}
-
-/// Fills the workers with the least room first, so that tasks that need a whole
-/// worker find one.
+/// Fills the workers with the least room first.
 /// @return a worker for each task; empty if they do not all fit.
-std::vector<WorkerState*> FillFullestFirst(Group group,
-                                           const PlacementRequest& request) {
-  const Resources need = NeedOf(*request.spec);
-  const auto key = [&request](const Candidate& each) {
-    return std::pair(WeightOf(each.room), IsOfOtherSpeed(each, request));
-  };
+std::vector<WorkerState*> FillFullestFirst(Group group, const Resources& need,
+                                           std::uint32_t tasks) {
   std::stable_sort(group.begin(), group.end(),
-                   [&key](const Candidate& a, const Candidate& b) {
-                     return key(a) < key(b);
+                   [](const Candidate& a, const Candidate& b) {
+                     return WeightOf(a.room) < WeightOf(b.room);
                    });
   std::vector<WorkerState*> chosen;
   for (const Candidate& candidate : group) {
     std::uint32_t fitting = CountFitting(need, candidate.room, candidate.limit);
-    while (fitting-- > 0 && chosen.size() < request.tasks) {
+    while (fitting-- > 0 && chosen.size() < tasks) {
       chosen.push_back(candidate.worker);
     }
   }
-  if (chosen.size() < request.tasks) chosen.clear();
+  if (chosen.size() < tasks) chosen.clear();
   return chosen;
 }
 
@@ -116,8 +103,7 @@
   for (WorkerState* worker : usable) {
     if (!IsSuited(*worker, spec, job.queue.service)) continue;
     Candidate candidate{worker, worker->room(),
-                        std::numeric_limits<std::uint32_t>::max(),
-                        worker->speed.slow()};
+                        std::numeric_limits<std::uint32_t>::max()};
     if (spec.max_tasks_per_worker > 0) {
       const std::uint32_t present = TasksOfStepOn(*worker, job, step);
       candidate.limit = spec.max_tasks_per_worker -
@@ -139,7 +125,7 @@
   if (!spec.preferred_rack.empty()) {
     const Group& home = racks[spec.preferred_rack];
     if (CountFitting(home, need) >= request.tasks) {
-      return FillFullestFirst(home, request);
+      return FillFullestFirst(home, need, request.tasks);
     }
     if (!request.other_racks_allowed) return {};
   }
@@ -153,9 +139,9 @@
     best = &group;
     best_count = count;
   }
-  if (best != nullptr) return FillFullestFirst(*best, request);
+  if (best != nullptr) return FillFullestFirst(*best, need, request.tasks);
   if (spec.prefers_one_rack && !request.other_racks_allowed) return {};
-  return FillFullestFirst(std::move(candidates), request);
+  return FillFullestFirst(std::move(candidates), need, request.tasks);
 }
 
 WorkerState* PlaceTask(std::span<Candidate> candidates,
@@ -163,16 +149,15 @@
   const StepSpec& spec = *request.spec;
   const Resources need = NeedOf(spec);
   Candidate* best = nullptr;
-  auto best_key = std::tuple<int, std::int64_t, bool>{};
+  auto best_key = std::pair<int, std::int64_t>{};
   for (Candidate& candidate : candidates) {
     if (CountFitting(need, candidate.room, candidate.limit) == 0) continue;
     const bool home = spec.preferred_rack.empty() ||
                       candidate.worker->entry.rack == spec.preferred_rack;
     if (!home && !request.other_racks_allowed) continue;
     const bool avoided = candidate.worker->entry.name == request.avoid;
-    const std::tuple key{(avoided ? 2 : 0) + (home ? 0 : 1),
-                         WeightOf(candidate.room),
-                         IsOfOtherSpeed(candidate, request)};
+    const std::pair<int, std::int64_t> key{(avoided ? 2 : 0) + (home ? 0 : 1),
+                                           WeightOf(candidate.room)};
     if (best != nullptr && best_key <= key) continue;
     best = &candidate;
     best_key = key;
--- a/packages/jobs/src/placement.h
+++ b/packages/jobs/src/placement.h
@@ -22,7 +22,6 @@
   WorkerState* worker = nullptr;
   Resources room;           ///< Still available.
   std::uint32_t limit = 0;  ///< Most further tasks of the step.
-  bool slow = false;        ///< Other workers take less time.
 };
 
 struct PlacementRequest {
@@ -32,9 +31,6 @@
   /// rack for a gang that prefers one.
   bool other_racks_allowed = true;
   WorkerName avoid;  ///< Used only if no other worker has room; may be empty.
-  /// Of workers with the same room, urgent work takes fast ones and other work
-  /// slow ones.
-  bool urgent = false;
 };
 
 /// @return the resources that a task of the step occupies on a worker.
--- a/packages/jobs/src/run_ends.cc
+++ b/packages/jobs/src/run_ends.cc
@@ -20,9 +20,6 @@
   TaskState* task = job == nullptr ? nullptr : FindTask(*job, end.task);
   const auto held = worker.placed_runs.find(end.task);
   if (held != worker.placed_runs.end() && held->second.run == end.run) {
-    if (task != nullptr && end.ending == RunEnding::kDone) {
-      CompareRunTime(worker, *job, StepOf(*job, end.task), held->second, now);
-    }
     RemovePlacedRun(worker, end.task);
   }
   LogRunDecision(DecisionKind::kRunEnded, DecisionCause::kNone, end.task,
@@ -55,19 +52,6 @@
   }
 }
 
-void Dispatcher::Impl::CompareRunTime(WorkerState& worker, const JobState& job,
-                                      StepState& step, const PlacedRun& run,
-                                      const Now& now) {
-  const StepSpec& spec = job.SpecOf(step);
-  const bool near_data =
-      spec.preferred_rack.empty() || spec.preferred_rack == worker.entry.rack;
-  // Members of a gang end together, and a resumed run did part of its work.
-  const bool comparable = !spec.gang && !spec.long_running && near_data &&
-                          run.start_checkpoint.empty() && run.confirmed_at;
-  if (!comparable) return;
-  worker.speed.Record(step.run_times.Add(now.steady - *run.confirmed_at));
-}
-
 void Dispatcher::Impl::HandleFailedRun(WorkerState& worker, JobState& job,
                                        StepState& step, const EndedRun& end,
                                        const Now& now) {
--- a/packages/jobs/src/starts.cc
+++ b/packages/jobs/src/starts.cc
@@ -150,9 +150,6 @@
   const auto empty = [](const Candidate& candidate) {
     return candidate.worker->placed_runs.empty();
   };
-  // The workers that are kept are fast ones, if possible.
-  std::stable_partition(candidates.begin(), candidates.end(),
-                        [](const Candidate& each) { return each.slow; });
   const auto kept = static_cast<std::ptrdiff_t>(
       std::floor(kReservedShare * static_cast<double>(candidates.size())));
   std::ptrdiff_t spare =
@@ -166,9 +163,9 @@
 bool Dispatcher::Impl::StartGang(JobState& job, StepState& step,
                                  const Now& now) {
   const auto tasks = static_cast<std::uint32_t>(step.tasks.size());
-  PlacementRequest request{
-      &job.SpecOf(step), tasks, MayUseOtherRacks(job, step, tasks, now),
-      step.tasks.front().failed_on, job.queue.priority == 0};
+  PlacementRequest request{&job.SpecOf(step), tasks,
+                           MayUseOtherRacks(job, step, tasks, now),
+                           step.tasks.front().failed_on};
   TaskShape shape = ShapeOf(job, job.SpecOf(step), request, now);
   if (unplaced_.Covers(shape)) return false;
   const std::vector<WorkerState*> chosen =
@@ -188,11 +185,8 @@
 
 bool Dispatcher::Impl::StartTasks(JobState& job, StepState& step,
                                   const Now& now) {
-  PlacementRequest request{&job.SpecOf(step),
-                           1,
-                           MayUseOtherRacks(job, step, 1, now),
-                           {},
-                           job.queue.priority == 0};
+  PlacementRequest request{
+      &job.SpecOf(step), 1, MayUseOtherRacks(job, step, 1, now), {}};
   TaskShape shape = ShapeOf(job, job.SpecOf(step), request, now);
   if (unplaced_.Covers(shape)) return false;
   std::vector<Candidate> candidates = SelectCandidates(job, step, now);
--- a/packages/jobs/src/worker_polls.cc
+++ b/packages/jobs/src/worker_polls.cc
@@ -143,7 +143,6 @@
   worker.committing_to = 0;
   worker.durable_to = 0;
   worker.failures_in_row = 0;
-  worker.speed = {};
 }
 
 void Dispatcher::Impl::HandleListedRun(WorkerState& worker,
--- a/packages/jobs/src/worker_pool.h
+++ b/packages/jobs/src/worker_pool.h
@@ -13,7 +13,6 @@
 
 #include "jasminespar/jobs/dispatcher.h"
 #include "jasminespar/jobs/messages.h"
-#include "worker_speed.h"
 
 namespace jasminespar::jobs {
 
@@ -79,8 +78,6 @@
   JobId last_failed_job;
   TimePoint quarantined_until;
 
-  WorkerSpeed speed;
-
   Resources used;      ///< By `placed_runs`.
   Resources reserved;  ///< By reclaim plans, for runs that have not started.
   std::map<TaskName, PlacedRun> placed_runs;
--- a/packages/jobserver/include/jasminespar/jobserver/job_front.h
+++ b/packages/jobserver/include/jasminespar/jobserver/job_front.h
@@ -110,7 +110,6 @@
                                       const std::string& detail,
                                       TimePoint arrived);
 
-  runtime::Duty& duty_;
   site::SiteCodec codec_;
   Rings rings_;
   telemetry::Metrics& metrics_;
--- a/packages/jobserver/src/job_front.cc
+++ b/packages/jobserver/src/job_front.cc
@@ -72,8 +72,7 @@
 JobFront::JobFront(runtime::Duty& duty, const JobFrontSettings& settings,
                    const site::SiteCodec& codec, const Rings& rings,
                    telemetry::Metrics& metrics)
-    : duty_(duty),
-      codec_(codec),
+    : codec_(codec),
       rings_(rings),
       metrics_(metrics),
       log_(rings.telemetry),
