Arm timers and receives again before their handlers run

Cause: an unexpected error in a handler now ends only that handler; a heartbeat, a tick or a receive that was armed after it would have been the last one. By reading; the tests of the duties pass as before.

--- a/packages/jobserver/src/dispatch_duty.cc
+++ b/packages/jobserver/src/dispatch_duty.cc
@@ -172,8 +172,8 @@
                                                    : kIdleTickInterval);
   tick_timer_.async_wait([this](const boost::system::error_code& error) {
     if (error) return;
+    ScheduleTick();  // First: an error below must not be the last tick.
     Tick();
-    ScheduleTick();
   });
 }
 
--- a/packages/jobserver/src/peer_heartbeats.cc
+++ b/packages/jobserver/src/peer_heartbeats.cc
@@ -27,8 +27,8 @@
   heartbeat_timer_.expires_after(kHeartbeatInterval);
   heartbeat_timer_.async_wait([this](const boost::system::error_code& error) {
     if (error) return;
+    ScheduleHeartbeat();  // First: an error below must not be the last beat.
     SendHeartbeats();
-    ScheduleHeartbeat();
   });
 }
 
@@ -95,8 +95,9 @@
       asio::buffer(datagram_), sender_,
       [this](const boost::system::error_code& error, std::size_t size) {
         if (error == asio::error::operation_aborted) return;
-        if (!error) HandleHeartbeat(std::string(datagram_.data(), size));
-        ReceiveHeartbeats();
+        const std::string datagram(datagram_.data(), error ? 0 : size);
+        ReceiveHeartbeats();  // First: one odd datagram must not be the last.
+        if (!error) HandleHeartbeat(datagram);
       });
 }
 
