Take no expired entry behind a cut for the end of a leaving worker

Cause: a new owner took the time at which it loaded an entry for the time of its last change; the expiry of a leaving worker's entry 2.4 s later then counted as the end of its process. Ruled out: the lease, whose bound was 48 s; the windows of the predecessor. Change: the time starts only with a change to leaving that was seen on a current list, and is 2.5 s, less than an entry takes to expire. Before: three sections of the new test failed. After: test_jobs passes.

--- a/packages/jobs/src/dispatcher.cc
+++ b/packages/jobs/src/dispatcher.cc
@@ -15,9 +15,12 @@
 /// Rows of one job in a commit: its progress and its status.
 constexpr std::size_t kRowsPerJob = 2;
 
-/// If the entry of a leaving worker is removed within this time after its last
-/// change, the worker has ended. Later, the entry may only have expired.
-constexpr Duration kLeavingEntryTimeout = 3s;
+/// If the entry of a worker is removed within this time after it began to
+/// leave, the worker has ended. Later, the entry may only have expired: entries
+/// do so after 4.5 s without the worker, and its change is seen up to
+/// kMaxWorkerListAge late.
+constexpr Duration kLeavingEntryTimeout = 2500ms;
+static_assert(kLeavingEntryTimeout + kMaxWorkerListAge < 4500ms);
 
 }  // namespace
 
@@ -114,13 +117,16 @@
   if (leaving && !worker.leaving) {
     LogWorkerDecision(DecisionKind::kWorkerLeaving, listed.entry.name, {});
   }
+  const bool began_to_leave = leaving && worker.listed && !worker.entry.leaving;
+  const bool list_current = now.steady - worker_list_as_of_ < kMaxWorkerListAge;
+  if (!leaving) worker.leaving_since.reset();
+  if (began_to_leave && list_current) worker.leaving_since = now.steady;
   const Incarnation known = worker.entry.incarnation;
   worker.entry = std::move(listed.entry);
   // A new incarnation is applied from a report only: the report shows what
   // became of the runs of the previous one.
   if (known.value != 0) worker.entry.incarnation = known;
   worker.listed = true;
-  worker.listed_at = now.steady;
   worker.leaving = leaving;
 }
 
@@ -130,8 +136,8 @@
   WorkerState& worker = found->second;
   worker.listed = false;
   const bool deleted = unlisted.cause == UnlistedCause::kDeleted;
-  if (deleted && worker.leaving &&
-      now.steady - worker.listed_at < kLeavingEntryTimeout) {
+  const std::optional<TimePoint> since = worker.leaving_since;
+  if (deleted && since && now.steady - *since < kLeavingEntryTimeout) {
     worker.lease_expires_at = now.steady;
     worker.silent = true;
   }
--- a/packages/jobs/src/worker_pool.h
+++ b/packages/jobs/src/worker_pool.h
@@ -52,7 +52,9 @@
 struct WorkerState {
   WorkerEntry entry;
   bool listed = false;
-  TimePoint listed_at;    ///< When its entry last changed.
+  /// When its entry began to say that it leaves; nothing if that was not seen
+  /// soon after.
+  std::optional<TimePoint> leaving_since;
   bool enrolled = false;  ///< It is stored in the table, so it may get work.
   bool leaving = false;
   /// All its runs are known: it has reported to this owner, got no order from
--- a/tests/jobs/takeover_test.cc
+++ b/tests/jobs/takeover_test.cc
@@ -99,6 +99,58 @@
   }
 }
 
+TEST_CASE("an entry that expired behind a cut does not end a leaving worker") {
+  // Seen on the large site: workers in a data centre that was cut off were
+  // leaving. A new owner took the expiry of their entries, soon after it had
+  // loaded them, for their ends, and started a gang that still ran there.
+  DispatcherFixture fixture(2);
+  fixture.AddWorker("w1");
+  WorkerEntry cut;
+  cut.name.value = "w2";
+  cut.service.value = "matching";
+  cut.capacity = {32'000, 128'000, 8};
+  cut.leaving = true;
+  fixture.unresponsive["w2"] = true;
+  fixture.Feed(WorkerEnrolled{cut.name, "127.0.0.1", 1});
+  const auto run_waiting_job = [&fixture] {
+    fixture.Advance(2s);
+    fixture.Feed(WorkerUnlisted{{"w2"}});
+    fixture.Advance(5s);
+  };
+  const auto load = [&fixture] {
+    fixture.Feed(JobLoaded{
+        DispatcherFixture::Job("a", "batch", {DispatcherFixture::Step(1, 1)}),
+        {}});
+    fixture.FinishLoading();
+  };
+  SECTION("the entry was loaded at the takeover") {
+    fixture.Feed(WorkerListed{cut});
+    load();
+    run_waiting_job();
+    CHECK(fixture.starts.empty());
+  }
+  SECTION("the entry was read again as it was") {
+    fixture.Feed(WorkerListed{cut});
+    load();
+    fixture.Advance(2s);
+    fixture.Feed(WorkerListed{cut});
+    run_waiting_job();
+    CHECK(fixture.starts.empty());
+  }
+  SECTION("the list was not current when the entry changed") {
+    WorkerEntry ready = cut;
+    ready.leaving = false;
+    fixture.Feed(WorkerListed{ready});
+    load();
+    fixture.list_confirmed = false;
+    fixture.Advance(3s);
+    fixture.Feed(WorkerListed{cut});
+    fixture.list_confirmed = true;
+    run_waiting_job();
+    CHECK(fixture.starts.empty());
+  }
+}
+
 TEST_CASE("a worker that has left is not used after a takeover") {
   DispatcherFixture fixture;
   // The table still has it, the platform's list does not.
