Let a start expire with the list of workers it was decided on

Change: a start must be sent before the list it was decided on is 1.8 s old; checked when the order leaves the ring and again when its connection is there. Tests: silence_test.cc, slow_response_test.cc; both need the new interface.

--- a/packages/http/include/jasminespar/http/client.h
+++ b/packages/http/include/jasminespar/http/client.h
@@ -9,6 +9,7 @@
 #include <boost/asio/io_context.hpp>
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <limits>
 #include <memory>
 #include <optional>
@@ -30,6 +31,9 @@
   std::optional<Duration> idle;
   /// Largest body of a response.
   std::uint64_t max_body_bytes = std::numeric_limits<std::uint64_t>::max();
+  /// Called on a connection just before the request is written; if it returns
+  /// false, the request is not sent. Empty: it is always sent.
+  std::function<bool()> may_send;
 };
 
 /// Sends requests to one server over a bounded pool of keep-alive connections.
--- a/packages/http/src/client.cc
+++ b/packages/http/src/client.cc
@@ -98,6 +98,10 @@
     std::shared_ptr<Connection> connection = co_await Acquire(deadline);
     BusyConnection busy(*this, connection);
     co_await Connect(*connection, deadline);
+    if (limits.may_send && !limits.may_send()) {
+      throw Error(Reason::kWorkerUnreachable, Verdict::kNotRun,
+                  "not sent, as it was no longer allowed");
+    }
     Message message = ToMessage(std::move(request), host_);
     co_await Write(*connection, message, limits, deadline);
     Response response = co_await Read(*connection, busy, limits, deadline);
--- a/packages/jobs/include/jasminespar/jobs/messages.h
+++ b/packages/jobs/include/jasminespar/jobs/messages.h
@@ -131,6 +131,8 @@
   std::string host;
   std::uint16_t port = 0;
   WorkerClock lease_until;  ///< Zero: the order carries no lease.
+  /// A start must be sent by then, as what it was decided on is older after.
+  TimePoint send_by = TimePoint::max();
   WorkerOrder what;
 };
 
--- a/packages/jobs/src/orders.cc
+++ b/packages/jobs/src/orders.cc
@@ -35,9 +35,13 @@
         std::max(worker.lease_expires_at,
                  LeaseExpiryBound(settings_.max_lease, now.steady));
   }
+  const TimePoint send_by = pending.kind == PendingOrder::Kind::kStart
+                                ? worker_list_as_of_ + kMaxWorkerListAge
+                                : TimePoint::max();
   orders_.emplace(number, std::move(pending));
   effects_.emplace_back(SendOrder{number, worker.entry.name, worker.entry.host,
-                                  worker.entry.port, until, std::move(what)});
+                                  worker.entry.port, until, send_by,
+                                  std::move(what)});
 }
 
 void Dispatcher::Impl::SendStart(WorkerState& worker, const TaskName& name,
--- a/packages/jobserver/src/dispatch_duty.cc
+++ b/packages/jobserver/src/dispatch_duty.cc
@@ -1,5 +1,6 @@
 #include "jasminespar/jobserver/dispatch_duty.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "jasminespar/core/digest.h"
@@ -215,7 +216,8 @@
 }
 
 void DispatchDuty::PerformEffect(jobs::SendOrder& order) {
-  const TimePoint expires_at = ownership_.OrderExpiry(order.what);
+  const TimePoint expires_at =
+      std::min(order.send_by, ownership_.OrderExpiry(order.what));
   rings_.workers.Send(
       ForwardOrder{ownership_.epoch(), std::move(order), expires_at});
 }
--- a/packages/jobserver/src/worker_link.cc
+++ b/packages/jobserver/src/worker_link.cc
@@ -49,21 +49,26 @@
 asio::awaitable<void> WorkerLink::Forward(ForwardOrder forward) {
   jobs::OrderEnded ended{forward.order.order, forward.order.worker,
                          jobs::OrderUnanswered{}};
-  const Duration timeout = TimeoutOf(forward.order.what);
-  if (runtime::SteadyNow() >= forward.expires_at) {
-    ended.outcome = jobs::OrderExpired{};
-    dispatch_.Send(OrderResult{forward.epoch, std::move(ended)});
-    co_return;
-  }
+  bool expired = false;
+  http::ExchangeLimits limits;
+  limits.response = TimeoutOf(forward.order.what);
+  limits.may_send = [&expired, until = forward.expires_at] {
+    expired = runtime::SteadyNow() >= until;
+    return !expired;
+  };
   try {
+    // Checked again when the connection is there, which takes time too.
+    if (!limits.may_send())
+      throw Error(Reason::kWorkerUnreachable, Verdict::kNotRun, "expired");
     const std::shared_ptr<http::Client> client = ClientOf(forward.order);
     http::Request request = codec_.encode_order(forward.order, forward.epoch);
     const http::Response response =
-        co_await client->Send(std::move(request), timeout);
+        co_await client->Send(std::move(request), limits);
     ended.outcome = codec_.decode_response(forward.order, response);
   } catch (const Error& error) {
     // `ended` already says that there was no answer; the dispatcher logs it.
     metrics_.CountRetry(error.reason());
+    if (expired) ended.outcome = jobs::OrderExpired{};
   } catch (const std::exception& error) {
     // For example an address that a worker cannot have.
     telemetry::LogEvent(
--- a/tests/http/slow_response_test.cc
+++ b/tests/http/slow_response_test.cc
@@ -117,5 +117,22 @@
   }
 }
 
+TEST_CASE("a request whose time passed during the connect is not sent") {
+  int asked = 0;
+  ExchangeLimits limits;
+  limits.response = 10 * kLongPause;
+  limits.may_send = [&asked] {
+    ++asked;
+    return false;
+  };
+  try {
+    static_cast<void>(Exchange(kPieces, limits));
+    FAIL("sent");
+  } catch (const Error& error) {
+    CHECK(error.verdict() == Verdict::kNotRun);
+  }
+  CHECK(asked == 1);
+}
+
 }  // namespace
 }  // namespace jasminespar::http
--- a/tests/jobs/silence_test.cc
+++ b/tests/jobs/silence_test.cc
@@ -95,6 +95,25 @@
   CHECK(fixture.stops_sent == 1);
 }
 
+TEST_CASE("a start expires with the list of workers that it was decided on") {
+  // Seen at three thousand workers: what a start waits for before its decision
+  // and after it added up to five seconds.
+  DispatcherFixture fixture;
+  fixture.AddWorker("w1");
+  fixture.FinishLoading();
+  fixture.Advance(200ms);
+  const TimePoint confirmed = fixture.now.steady;
+  fixture.list_confirmed = false;
+  fixture.Advance(1s);
+  fixture.Feed(
+      JobLoaded{DispatcherFixture::Job(kJob.value, "batch",
+                                       {DispatcherFixture::Step(1, 8)}),
+                {}});
+  fixture.Advance(100ms);
+  REQUIRE(fixture.starts.size() == 1);
+  CHECK(fixture.starts.front().send_by == confirmed + kMaxWorkerListAge);
+}
+
 TEST_CASE("a repeated stop renews no lease") {
   DispatcherFixture fixture;
   const std::string lost = StartJobOnOneWorker(fixture);
