Repeat no start on a worker that has begun to leave

Cause, shown by the test: an unanswered start was sent again when the worker answered again, however long after, without a look at the worker's state. Change: such a start is stopped instead, as the first one may be carried out. Before: the new test of silence_test.cc failed (a second start). After: test_jobs passes.

--- a/packages/jobs/src/orders.cc
+++ b/packages/jobs/src/orders.cc
@@ -185,8 +185,12 @@
       [](const auto& entry) { return entry.second.HasOpenOrder(); });
   for (auto& [name, placed] : worker.placed_runs) {
     if (placed.in_flight || now.steady < placed.retry_at) continue;
-    if (placed.phase == PlacedRunPhase::kStarting) {
+    const bool gets_starts = worker.listed && !worker.leaving;
+    if (placed.phase == PlacedRunPhase::kStarting && gets_starts) {
       SendStart(worker, name, placed, now);
+    } else if (placed.phase == PlacedRunPhase::kStarting) {
+      // It began to leave since; the first start may still be carried out.
+      BeginStop(worker, name, placed, DecisionCause::kUnanswered, now);
     } else if (placed.phase == PlacedRunPhase::kStopping &&
                !placed.stop_confirmed_at) {
       SendStop(worker, name, placed, now);
--- a/tests/fleet/foreign_rows_test.cc
+++ b/tests/fleet/foreign_rows_test.cc
@@ -123,8 +123,8 @@
   CHECK_FALSE(bad_run.complete);
   CHECK(bad_run.runs.size() == 1);
   CHECK(bad_run.ends.size() == 1);
-  const jobs::WorkerReport bad_end =
-      decode(Json::array({good_run}), {{1e300, "x.0.0.0", 1, "done", ""}, good_end});
+  const jobs::WorkerReport bad_end = decode(
+      Json::array({good_run}), {{1e300, "x.0.0.0", 1, "done", ""}, good_end});
   CHECK_FALSE(bad_end.complete);
   CHECK(bad_end.ends.size() == 1);
 }
--- a/tests/jobs/silence_test.cc
+++ b/tests/jobs/silence_test.cc
@@ -114,6 +114,34 @@
   CHECK(fixture.starts.front().send_by == confirmed + kMaxWorkerListAge);
 }
 
+TEST_CASE("a start is not repeated on a worker that leaves meanwhile") {
+  DispatcherFixture fixture;
+  const std::string worker = "w1";
+  fixture.AddWorker(worker);
+  fixture.FinishLoading();
+  fixture.Advance(200ms);
+  fixture.Feed(
+      JobLoaded{DispatcherFixture::Job(kJob.value, "batch",
+                                       {DispatcherFixture::Step(1, 8)}),
+                {}});
+  fixture.Advance(100ms);
+  REQUIRE(fixture.starts.size() == 1);
+  fixture.unresponsive[worker] = true;
+  fixture.Answer(fixture.starts.front(), OrderUnanswered{});
+  fixture.starts.clear();
+  WorkerEntry entry;
+  entry.name.value = worker;
+  entry.service.value = "matching";
+  entry.capacity = {32'000, 128'000, 8};
+  entry.leaving = true;
+  fixture.Feed(WorkerListed{entry});
+  fixture.Advance(5s);
+  fixture.unresponsive[worker] = false;
+  fixture.Advance(1s);
+  CHECK(fixture.starts.empty());
+  CHECK(fixture.stops_sent > 0);
+}
+
 TEST_CASE("a repeated stop renews no lease") {
   DispatcherFixture fixture;
   const std::string lost = StartJobOnOneWorker(fixture);
