--- a/review/standins/main.cpp
+++ b/review/standins/main.cpp
@@ -243,6 +243,65 @@
   return twice > 0 ? kBroken : kHeld;
 }
 
+/// Tasks that take a quarter of an hour, on sound runners.
+int LongTasks(const std::string& folder) {
+  SiteOptions options;
+  options.workers = 12;
+  Site site(folder, options);
+  site.Configure(7, {kRoute});
+  if (!site.Start()) return kCouldNotRun;
+  const std::string job = "5c0e7a21d94b36f8";
+  const int ms = Trouble() ? 900000 : 60000;
+  Json step = Step(12, 4000, ms);
+  step["anti_affinity"] = 1;
+  const Reply accepted =
+      site.Ask(*site.Owner(), "POST", kPrefix + job,
+               Spec("ms=" + std::to_string(ms), Json::array({step})));
+  if (accepted.status != 200) return kCouldNotRun;
+  // Small jobs of others, until the end of the traffic.
+  std::map<std::string, std::int64_t> small;
+  for (int i = 0; i < 14; ++i) {
+    SleepMs(1500);
+    const std::string id = "aaaaaaaaaaaaaa" + std::to_string(10 + i);
+    small[id] = NowMs();
+    site.Ask(*site.Other(), "POST", kPrefix + id,
+             Spec("ms=300", Json::array({Step(1, 1000, 300)})));
+  }
+  const std::int64_t asked = NowMs() + 14000;  // finish_s.
+  SleepMs(30000);
+  const std::int64_t now = NowMs();
+  std::int64_t wait = 0;
+  for (const auto& [id, sent] : small) {
+    const std::vector<Run> runs = site.ledger.OfJob(id);
+    wait = std::max(wait, (runs.empty() ? now : runs.front().started) - sent);
+  }
+  Record("longest wait of a small job for its start: " + std::to_string(wait) +
+         " ms");
+  site.Ask(*site.Other(), "GET", kPrefix + job);
+  site.RecordRuns();
+  int stopped = 0;
+  std::int64_t longest = 0;
+  for (const Run& run : site.ledger.OfJob(job)) {
+    if (run.how == "stopped") ++stopped;
+    longest = std::max(longest, (run.ended < 0 ? now : run.ended) - run.started);
+  }
+  // The longest time, from finish_s after the traffic on, with nothing running.
+  std::int64_t idle = 0;
+  for (std::int64_t at = asked, since = asked; at < now; at += 10) {
+    bool runs = false;
+    for (const Run& run : site.ledger.OfJob(job)) {
+      runs = runs || (run.started <= at && (run.ended < 0 || run.ended > at));
+    }
+    if (runs) since = at;
+    idle = std::max(idle, at - since);
+  }
+  Record(std::to_string(stopped) + " runs of 12 tasks were stopped, the longest "
+         "run lasted " + std::to_string(longest) + " ms");
+  Record("longest time with nothing of the job running: " +
+         std::to_string(idle) + " ms");
+  return idle > 3000 ? kBroken : kHeld;
+}
+
 }  // namespace
 
 int RunCase(const std::string& name, const std::string& folder) {
@@ -250,6 +309,7 @@
   if (name == "cancel-first") return CancelFirst(folder);
   if (name == "dropped-route") return DroppedRoute(folder);
   if (name == "wide-job") return WideJob(folder);
+  if (name == "long-tasks") return LongTasks(folder);
   if (name == "leaving-runner") return LeavingRunner(folder);
   std::cerr << "unknown case " << name << '\n';
   return kCouldNotRun;
