--- a/review/standins/main.cpp
+++ b/review/standins/main.cpp
@@ -123,7 +123,16 @@
       *site.Owner(), "POST", dropped.prefix + job,
       Spec("ms=6000", Json::array({Step(3, 1000, 2000), second})));
   if (accepted.status != 200) return kCouldNotRun;
-  const auto started = [&] { return site.ledger.OfJob(job).size() == 3; };
+  // Its task fails once, of four attempts that the route allows.
+  const std::string other = "6d1f8b32e05ca407";
+  const Reply taken =
+      site.Ask(*site.Owner(), "POST", dropped.prefix + other,
+               Spec("ms=9000 fail=1", Json::array({Step(1, 1000, 9000)})));
+  if (taken.status != 200) return kCouldNotRun;
+  const auto started = [&] {
+    return site.ledger.OfJob(job).size() == 3 &&
+           site.ledger.OfJob(other).size() == 1;
+  };
   if (!WaitFor(3000, started)) return kCouldNotRun;
   site.Configure(9, {kRoute});
   SleepMs(2500);
@@ -135,17 +144,29 @@
   }
   // finish_s is 14; a step's turn comes when the one before has ended.
   SleepMs(24000);
-  site.RecordRuns();
   std::int64_t last = 0;
   int done = 0;
   for (const Run& run : site.ledger.OfJob(job)) {
-    if (run.ended < 0) return kHeld;
-    last = std::max(last, run.ended);
+    last = std::max(last, run.ended < 0 ? NowMs() : run.ended);
     if (run.how == "done") ++done;
   }
+  const std::int64_t idle = NowMs() - last;
   Record(std::to_string(done) + " of 6 tasks are done; nothing of the job has "
-         "run for " + std::to_string(NowMs() - last) + " ms");
-  return done < 6 && NowMs() - last > 3000 ? kBroken : kHeld;
+         "run for " + std::to_string(idle) + " ms");
+  const bool lost = done < 6 && idle > 3000;
+  // The operator adds the route again, so that its jobs can be asked for.
+  site.Configure(11, {kRoute, dropped});
+  SleepMs(2500);
+  const std::string state =
+      StateOf(site.Ask(*site.Other(), "GET", dropped.prefix + other));
+  int failed = 0;
+  for (const Run& run : site.ledger.OfJob(other)) {
+    if (run.how == "failed") ++failed;
+  }
+  site.RecordRuns();
+  Record("the other job is shown as " + state + " after " +
+         std::to_string(failed) + " failed attempt of 4");
+  return lost || (state == "failed" && failed < 4) ? kBroken : kHeld;
 }
 
 /// A runner with a task that lasts drains and leaves.
