--- a/review/1/run.sh
+++ b/review/5/run.sh
@@ -3,4 +3,4 @@
 # TROUBLE=0 leaves the disruption out. Needs the build of the deploy file and
 # review/build.sh.
 cd "$(dirname "$0")/../.." || exit 2
-exec target/review/review_case long-tasks review/1/record.txt
+exec target/review/review_case dropped-route review/5/record.txt
--- a/review/standins/site.cpp
+++ b/review/standins/site.cpp
@@ -101,16 +101,30 @@
 // ---- HTTP ----
 
 HttpServer::HttpServer(Handler handler) : handler_(std::move(handler)) {
-  port_ = FreePort();
+  // Bound at once, so that nobody else takes the port; it refuses connections
+  // until Start.
+  while (acceptor_ == nullptr) {
+    port_ = FreePort();
+    try {
+      Bind();
+    } catch (const std::exception&) {
+      acceptor_.reset();
+    }
+  }
 }
-HttpServer::~HttpServer() { Stop(); }
 
-void HttpServer::Start() {
-  stopping_ = false;
+void HttpServer::Bind() {
   acceptor_ = std::make_unique<Tcp::acceptor>(context_);
   acceptor_->open(Tcp::v4());
   acceptor_->set_option(Tcp::acceptor::reuse_address(true));
   acceptor_->bind({asio::ip::address_v4::loopback(), port_});
+}
+
+HttpServer::~HttpServer() { Stop(); }
+
+void HttpServer::Start() {
+  stopping_ = false;
+  if (acceptor_ == nullptr) Bind();
   acceptor_->listen(1024);
   accept_thread_ = std::thread([this] { Accept(); });
 }
--- a/review/standins/site.hpp
+++ b/review/standins/site.hpp
@@ -66,6 +66,7 @@
   [[nodiscard]] std::uint16_t port() const { return port_; }
 
  private:
+  void Bind();
   void Accept();
   void Serve(std::shared_ptr<boost::asio::ip::tcp::socket> socket);
   Handler handler_;
