--- a/packages/jobserver/src/owner_writes.cc
+++ b/packages/jobserver/src/owner_writes.cc
@@ -245,7 +245,10 @@
 void DispatchDuty::BeginEpoch(Epoch epoch) {
   metrics_.Count(Counter::kCellsClaimed);
   log_.Log(Event::kCellClaimed,
-           {{"cell", kCellPartition}, {"epoch", epoch.durable}});
+           {{"cell", kCellPartition},
+            {"epoch", epoch.durable},
+            {"others_renew_ms", ToMilliseconds(predecessor_.renew)},
+            {"others_start_ms", ToMilliseconds(predecessor_.start)}});
   pending_commit_.reset();
   dispatcher_ =
       std::make_unique<jobs::Dispatcher>(settings_, epoch, predecessor_);
