Keep in the owner row what earlier owners can still do

Cause: a claim reckons with the windows of the owner that the row names. A process that finds its own name there takes it that nobody else can act; that its killed process had itself reckoned with an owner behind a cut was in that process's memory only. The leases that this owner went on to renew were taken for expired too early.

Evidence: cell_claimed with the windows (commit before): epoch 2 with 2,313 ms, epoch 3 by the next process of the same instance with 0, 0.8 s later. The first owner lost the cell, by its own log, 13 s later.

Ruled out: leases that last longer than granted, and late orders of the killed process: the first runs are of epoch 1, the second ones of epoch 3.

Change: each write of the owner row says what earlier owners can still do from then on; a claim takes the longer of that and of what follows from the silence of the owner in the row. Why it works: the windows only shrink, each is counted from a moment no earlier than the write that stated it, and no claim succeeds without having read the last write. A row stored without windows is read as before.

Related paths: with another name in the row the last owner's window covers those before (a claim comes after its silence). In the calls path attempts are written before they are sent; nothing there depends on such a window.

--- a/packages/jobs/include/jasminespar/jobs/dispatcher.h
+++ b/packages/jobs/include/jasminespar/jobs/dispatcher.h
@@ -4,6 +4,7 @@
 #ifndef JASMINESPAR_JOBS_DISPATCHER_H_
 #define JASMINESPAR_JOBS_DISPATCHER_H_
 
+#include <algorithm>
 #include <memory>
 #include <vector>
 
@@ -21,13 +22,21 @@
   Duration reclaim_within = 3400ms;  ///< Bound on the start of guaranteed work.
 };
 
-/// How long after a claim the previous owner, which may not know of it, can
-/// still act.
+/// How long earlier owners of the cell, which may not know of its present one,
+/// can still act.
 struct PredecessorWindows {
   Duration renew{};  ///< Of leases.
   Duration start{};  ///< Of tasks.
+  bool operator==(const PredecessorWindows&) const = default;
 };
 
+/// @return what is left of the windows after `elapsed`.
+[[nodiscard]] constexpr PredecessorWindows WindowsAfter(
+    const PredecessorWindows& windows, Duration elapsed) noexcept {
+  return {std::max(Duration{}, windows.renew - elapsed),
+          std::max(Duration{}, windows.start - elapsed)};
+}
+
 /// What the owner may do, given the age of its last confirmed heartbeat.
 enum class Authority : std::uint8_t {
   kNone,       ///< No orders: another instance may own the cell.
@@ -53,7 +62,7 @@
  public:
   /// @param epoch of the ownership; part of every run number.
   Dispatcher(const DispatcherSettings& settings, Epoch epoch,
-             const PredecessorWindows& predecessor);
+             const PredecessorWindows& predecessors);
   ~Dispatcher();
 
   Dispatcher(const Dispatcher&) = delete;
--- a/packages/jobs/include/jasminespar/jobs/ownership.h
+++ b/packages/jobs/include/jasminespar/jobs/ownership.h
@@ -25,6 +25,9 @@
   /// its own writes. Each write by the owner changes the row and so serves as a
   /// heartbeat.
   std::uint64_t write = 0;
+  /// What the owners before this one can still do, from this write on. A
+  /// process that finds its own name in the row knows of them only from here.
+  PredecessorWindows predecessors;
   bool operator==(const OwnerRow&) const = default;
 };
 
@@ -46,11 +49,10 @@
 // Results of Ownership::Next.
 
 struct Wait {};
-/// Write the owner row under `epoch` if it still has the expected version.
+/// Write `row` if the owner row still has the expected version.
 struct ClaimCell {
   RowVersion expected;
-  Epoch epoch;
-  PredecessorWindows predecessor;
+  OwnerRow row;
 };
 /// Rewrite the owner row.
 struct SendHeartbeat {};
@@ -95,6 +97,14 @@
   /// The condition on the owner row failed: another instance owns the cell.
   void HandleOwnershipLost(TimePoint now);
 
+  /// @return the row that renews the ownership if it is written now. Its number
+  ///     of the write is not set.
+  [[nodiscard]] OwnerRow RenewedRow(TimePoint now) const;
+
+  /// @return the row that releases the cell if it is written now. Its number of
+  ///     the write is not set.
+  [[nodiscard]] OwnerRow ReleasedRow(TimePoint now) const;
+
   /// Makes no claim from now on.
   void StopClaiming() noexcept { leaving_ = true; }
 
@@ -121,7 +131,7 @@
   [[nodiscard]] const OwnerRow& row() const noexcept { return row_; }
 
  private:
-  /// @return what the owner in the row can still do if the cell is claimed now.
+  /// @return what earlier owners can still do if the cell is claimed now.
   [[nodiscard]] PredecessorWindows WindowsAt(TimePoint now) const;
 
   OwnershipSettings settings_;
@@ -136,6 +146,8 @@
   TimePoint last_owner_heartbeat_;
   TimePoint last_table_read_;
   TimePoint confirmed_at_;
+  PredecessorWindows claimed_windows_;  ///< At `claim_sent_at_`.
+  TimePoint claim_sent_at_;
   TimePoint earliest_claim_;
 };
 
--- a/packages/jobs/src/dispatcher.cc
+++ b/packages/jobs/src/dispatcher.cc
@@ -29,7 +29,7 @@
   loaded_at_ = now;
   for (auto& [name, worker] : workers_) {
     worker.lease_expires_at =
-        LeaseExpiryBound(settings_.max_lease + predecessor_.renew, now);
+        LeaseExpiryBound(settings_.max_lease + predecessors_.renew, now);
     if (!worker.enrolled) worker.reconciled = true;  // It never got an order.
   }
   for (auto& [id, job] : jobs_) job.may_have_unlisted_runs = true;
@@ -89,7 +89,7 @@
   // An earlier owner that does not know yet that it lost the cell may have
   // loaded and started the job as well.
   job.may_have_unlisted_runs =
-      loaded_ && now.steady - loaded_at_ < predecessor_.start;
+      loaded_ && now.steady - loaded_at_ < predecessors_.start;
   for (auto& [name, worker] : workers_) {
     for (auto& [task, placed] : worker.placed_runs) {
       if (task.job == id) job.may_have_unlisted_runs = true;
@@ -316,8 +316,8 @@
 }
 
 Dispatcher::Dispatcher(const DispatcherSettings& settings, Epoch epoch,
-                       const PredecessorWindows& predecessor)
-    : impl_(std::make_unique<Impl>(settings, epoch, predecessor)) {}
+                       const PredecessorWindows& predecessors)
+    : impl_(std::make_unique<Impl>(settings, epoch, predecessors)) {}
 
 Dispatcher::~Dispatcher() = default;
 
--- a/packages/jobs/src/dispatcher_impl.h
+++ b/packages/jobs/src/dispatcher_impl.h
@@ -35,8 +35,8 @@
 class Dispatcher::Impl {
  public:
   Impl(const DispatcherSettings& settings, Epoch epoch,
-       const PredecessorWindows& predecessor)
-      : settings_(settings), epoch_(epoch), predecessor_(predecessor) {}
+       const PredecessorWindows& predecessors)
+      : settings_(settings), epoch_(epoch), predecessors_(predecessors) {}
 
   void FinishLoading(TimePoint now);
   void Handle(DispatcherInput input, const Now& now);
@@ -240,7 +240,7 @@
 
   DispatcherSettings settings_;
   Epoch epoch_;
-  PredecessorWindows predecessor_;
+  PredecessorWindows predecessors_;
   std::shared_ptr<const ConfigurationSnapshot> configuration_;
   std::set<ServiceId> services_;  ///< Of the configuration's queues.
   std::map<JobId, JobState> jobs_;
--- a/packages/jobs/src/ownership.cc
+++ b/packages/jobs/src/ownership.cc
@@ -68,18 +68,36 @@
   // A row that names this instance was left by an earlier process of it.
   const bool free = row_.owner.value.empty() || row_.owner == self_;
   if (!free && now - last_row_change_ < takeover_delay) return Wait{};
-  return ClaimCell{version_, Epoch{row_.epoch.durable + 1, 0}, WindowsAt(now)};
+  return ClaimCell{version_, OwnerRow{self_, Epoch{row_.epoch.durable + 1, 0},
+                                      0, WindowsAt(now)}};
 }
 
 PredecessorWindows Ownership::WindowsAt(TimePoint now) const {
-  // The earlier process of this instance has ended.
-  if (row_.owner == self_) return {};
-  // The process that released the cell may not have learned that it did.
+  const Duration unchanged = now - last_row_change_;
+  const PredecessorWindows earlier = WindowsAfter(row_.predecessors, unchanged);
+  // The earlier process of this instance has ended, the owners before it may
+  // not have.
+  if (row_.owner == self_) return earlier;
+  // The process that released the cell may not have learned that it did. Of
+  // another owner the last confirmed write was sent before this instance saw
+  // the row change.
   const bool released = row_.owner.value.empty();
-  // Its last confirmed write was sent before this instance saw the row change.
-  const Duration silence = released ? Duration{} : now - last_row_change_;
-  return {std::max(Duration{}, settings_.max_age_to_renew - silence),
-          std::max(Duration{}, settings_.max_age_to_start - silence)};
+  const PredecessorWindows last =
+      WindowsAfter({settings_.max_age_to_renew, settings_.max_age_to_start},
+                   released ? Duration{} : unchanged);
+  return {std::max(earlier.renew, last.renew),
+          std::max(earlier.start, last.start)};
+}
+
+OwnerRow Ownership::RenewedRow(TimePoint now) const {
+  return {self_, row_.epoch, 0,
+          WindowsAfter(claimed_windows_, now - claim_sent_at_)};
+}
+
+OwnerRow Ownership::ReleasedRow(TimePoint now) const {
+  OwnerRow row = RenewedRow(now);
+  row.owner = {};
+  return row;
 }
 
 void Ownership::ClaimSucceeded(const OwnerRow& row, RowVersion version,
@@ -87,6 +105,8 @@
   owned_ = true;
   last_row_change_ = now;
   confirmed_at_ = sent_at;
+  claimed_windows_ = row.predecessors;
+  claim_sent_at_ = sent_at;
   WriteSucceeded(row, version, sent_at);
 }
 
--- a/packages/jobserver/include/jasminespar/jobserver/dispatch_duty.h
+++ b/packages/jobserver/include/jasminespar/jobserver/dispatch_duty.h
@@ -99,7 +99,8 @@
   void HandleOwnerWriteOutcome(const site::TableOutcome& outcome);
   void HandleOwnerWriteSuccess(jobs::RowVersion version);
   void RecordOwnerFrom(const site::Conflict& conflict);
-  void BeginEpoch(Epoch epoch);
+  /// @param row that claimed the cell.
+  void BeginEpoch(const jobs::OwnerRow& row);
   void StepDown();
   /// @return the owner row's version when it is the result of the write in
   ///     flight; nothing otherwise.
@@ -132,7 +133,6 @@
   bool decision_scheduled_ = false;
   bool release_requested_ = false;
   TimePoint claimed_at_;
-  jobs::PredecessorWindows predecessor_;  ///< At the last claim.
   std::atomic<bool> owns_{false};
 };
 
--- a/packages/jobserver/src/owner_writes.cc
+++ b/packages/jobserver/src/owner_writes.cc
@@ -32,9 +32,6 @@
 constexpr std::size_t kDeletableJobsPerCommit = 9;
 static_assert(jobs::kMaxCommitRows + 2 * kDeletableJobsPerCommit + 2 <= 100);
 
-/// Placeholder; SendOwnerWrite sets the number.
-constexpr std::uint64_t kNoWriteNumber = 0;
-
 }  // namespace
 
 void DispatchDuty::AdvanceOwnership() {
@@ -44,7 +41,7 @@
     release_requested_ = false;
     OwnerWrite write;
     write.kind = OwnerWrite::Kind::kRelease;
-    write.row = {InstanceId{}, ownership_.epoch(), kNoWriteNumber};
+    write.row = ownership_.ReleasedRow(now);
     SendOwnerWrite(std::move(write));
     return;
   }
@@ -53,14 +50,13 @@
                  [&](const jobs::ClaimCell& claim) {
                    OwnerWrite write;
                    write.kind = OwnerWrite::Kind::kClaim;
-                   write.row = {self_, claim.epoch, kNoWriteNumber};
+                   write.row = claim.row;
                    claimed_at_ = now;
-                   predecessor_ = claim.predecessor;
                    SendOwnerWrite(std::move(write));
                  },
                  [&](const jobs::SendHeartbeat&) {
                    OwnerWrite write;
-                   write.row = {self_, ownership_.epoch(), kNoWriteNumber};
+                   write.row = ownership_.RenewedRow(now);
                    SendOwnerWrite(std::move(write));
                  },
              },
@@ -73,7 +69,7 @@
   OwnerWrite write;
   write.kind = OwnerWrite::Kind::kCommit;
   write.commit = commit.commit;
-  write.row = {self_, ownership_.epoch(), kNoWriteNumber};
+  write.row = ownership_.RenewedRow(runtime::SteadyNow());
   std::vector<site::Row>& rows = write.transaction.writes;
   for (const jobs::JobProgress& progress : commit.progress) {
     rows.push_back({CellRowKey(kProgressTable, progress.job.value),
@@ -220,7 +216,7 @@
   switch (write.kind) {
     case OwnerWrite::Kind::kClaim:
       ownership_.ClaimSucceeded(write.row, version, write.sent_at, now);
-      BeginEpoch(write.row.epoch);
+      BeginEpoch(write.row);
       return;
     case OwnerWrite::Kind::kRelease:
       log_.Log(Event::kHandoverFinished, {{"cell", kCellPartition}});
@@ -242,22 +238,22 @@
   }
 }
 
-void DispatchDuty::BeginEpoch(Epoch epoch) {
+void DispatchDuty::BeginEpoch(const jobs::OwnerRow& row) {
   metrics_.Count(Counter::kCellsClaimed);
   log_.Log(Event::kCellClaimed,
            {{"cell", kCellPartition},
-            {"epoch", epoch.durable},
-            {"others_renew_ms", ToMilliseconds(predecessor_.renew)},
-            {"others_start_ms", ToMilliseconds(predecessor_.start)}});
+            {"epoch", row.epoch.durable},
+            {"others_renew_ms", ToMilliseconds(row.predecessors.renew)},
+            {"others_start_ms", ToMilliseconds(row.predecessors.start)}});
   pending_commit_.reset();
-  dispatcher_ =
-      std::make_unique<jobs::Dispatcher>(settings_, epoch, predecessor_);
+  dispatcher_ = std::make_unique<jobs::Dispatcher>(settings_, row.epoch,
+                                                   row.predecessors);
   owns_ = true;
   rings_.peers.Send(CellOwned{true});
   if (configuration_ != nullptr) {
     HandleInput(jobs::ConfigurationChanged{configuration_});
   }
-  rings_.store.Send(BeginOwnership{epoch});
+  rings_.store.Send(BeginOwnership{row.epoch});
 }
 
 void DispatchDuty::StepDown() {
--- a/packages/protocol/src/encode_value.h
+++ b/packages/protocol/src/encode_value.h
@@ -8,6 +8,7 @@
 #include <sstream>
 #include <string>
 #include <string_view>
+#include <type_traits>
 #include <utility>
 
 #include "bounded_archive.h"
@@ -15,6 +16,16 @@
 
 namespace jasminespar::protocol {
 
+/// Serializes fields that were added to the end of a stored value. They keep
+/// their defaults when a value is read that was written without them.
+template <typename Archive, typename... Fields>
+void SerializeAppended(Archive& archive, Fields&... fields) {
+  if constexpr (std::is_same_v<Archive, BoundedInputArchive>) {
+    if (archive.bytes_left() == 0) return;
+  }
+  archive(fields...);
+}
+
 template <typename Value>
 std::string EncodeValue(const Value& value) {
   std::ostringstream stream;
--- a/packages/protocol/src/job_records.cc
+++ b/packages/protocol/src/job_records.cc
@@ -39,8 +39,13 @@
   archive(status.job, status.queue, phase, status.accepted_at, status.timed);
 }
 template <typename Archive>
+void serialize(Archive& archive, PredecessorWindows& windows) {
+  archive(windows.renew, windows.start);
+}
+template <typename Archive>
 void serialize(Archive& archive, OwnerRow& row) {
   archive(row.owner, row.epoch, row.write);
+  protocol::SerializeAppended(archive, row.predecessors);
 }
 template <typename Archive>
 void serialize(Archive& archive, WorkerEnrolled& worker) {
--- a/tests/jobs/dispatcher_fixture.h
+++ b/tests/jobs/dispatcher_fixture.h
@@ -23,7 +23,7 @@
 class DispatcherFixture {
  public:
   explicit DispatcherFixture(std::uint64_t epoch = 1)
-      : dispatcher(DispatcherSettings{}, Epoch{epoch, 0}, predecessor) {
+      : dispatcher(DispatcherSettings{}, Epoch{epoch, 0}, predecessors) {
     SiteConfiguration site;
     site.queues.push_back(Queue("urgent", 0, 2));
     site.queues.push_back(Queue("batch", 2, 2));
@@ -124,7 +124,7 @@
   }
 
   DispatcherSettings settings;
-  PredecessorWindows predecessor{5s, 1500ms};
+  PredecessorWindows predecessors{5s, 1500ms};
   Dispatcher dispatcher;
   std::shared_ptr<const ConfigurationSnapshot> configuration;
   Now now{TimePoint(1h), {1'000'000}};
--- a/tests/jobs/hand_over_test.cc
+++ b/tests/jobs/hand_over_test.cc
@@ -17,7 +17,7 @@
   return owner;
 }
 
-const OwnerRow kRow{InstanceId{"owner"}, Epoch{3, 0}, 1};
+const OwnerRow kRow{InstanceId{"owner"}, Epoch{3, 0}, 1, {}};
 
 TEST_CASE("orders expire before another instance may own the cell") {
   const Ownership owner = MakeOwner(kRow);
@@ -46,20 +46,40 @@
 
 TEST_CASE("a claim knows how long the previous owner can still act") {
   const ClaimCell silent = ClaimOf(InstanceId{"next"}, kRow);
-  CHECK(silent.predecessor.start == Duration{});
-  CHECK(silent.predecessor.renew ==
+  CHECK(silent.row.predecessors.start == Duration{});
+  CHECK(silent.row.predecessors.renew ==
         kSettings.max_age_to_renew - kSettings.quick_takeover_timeout);
   OwnerRow released = kRow;
   released.owner = {};
   const ClaimCell after_release = ClaimOf(InstanceId{"next"}, released);
-  CHECK(after_release.predecessor.start == kSettings.max_age_to_start);
-  CHECK(after_release.predecessor.renew == kSettings.max_age_to_renew);
+  CHECK(after_release.row.predecessors.start == kSettings.max_age_to_start);
+  CHECK(after_release.row.predecessors.renew == kSettings.max_age_to_renew);
 }
 
 TEST_CASE("a restarted owner does not wait for itself") {
   const ClaimCell claim = ClaimOf(kRow.owner, kRow);
-  CHECK(claim.predecessor.renew == Duration{});
-  CHECK(claim.predecessor.start == Duration{});
+  CHECK(claim.row.predecessors.renew == Duration{});
+  CHECK(claim.row.predecessors.start == Duration{});
+}
+
+TEST_CASE("a restarted owner waits for the owner before it") {
+  // Its first process claimed the cell from an owner that was cut off, and was
+  // killed at once: review/1, tasks that ran twice.
+  const ClaimCell first = ClaimOf(InstanceId{"next"}, kRow);
+  REQUIRE(first.row.predecessors.renew > Duration{});
+  CHECK(ClaimOf(first.row.owner, first.row).row.predecessors ==
+        first.row.predecessors);
+}
+
+TEST_CASE("an owner records less and less of the owners before it") {
+  OwnerRow row = kRow;
+  row.predecessors = {3s, 1s};
+  const Ownership owner = MakeOwner(row);
+  CHECK(owner.RenewedRow(kNow + 500ms).predecessors ==
+        PredecessorWindows{2500ms, 500ms});
+  CHECK(owner.ReleasedRow(kNow + 2s).predecessors ==
+        PredecessorWindows{1s, {}});
+  CHECK(owner.RenewedRow(kNow + 1min).predecessors == PredecessorWindows{});
 }
 
 TEST_CASE("an owner that was paused has no permission when it goes on") {
@@ -70,7 +90,7 @@
 
 TEST_CASE("an owner that reads another's row has no permission from then on") {
   Ownership owner = MakeOwner(kRow);
-  const OwnerRow taken{InstanceId{"next"}, Epoch{4, 0}, 1};
+  const OwnerRow taken{InstanceId{"next"}, Epoch{4, 0}, 1, {}};
   CHECK(owner.HandleOwnerRow(taken, RowVersion{9}, kNow + 100ms));
   CHECK(owner.AuthorityAt(kNow + 100ms) == Authority::kNone);
 }
--- a/tests/jobs/takeover_test.cc
+++ b/tests/jobs/takeover_test.cc
@@ -47,7 +47,7 @@
   }
   SECTION("every lease that the previous owner may have renewed has expired") {
     const Duration longest =
-        fixture.settings.max_lease + fixture.predecessor.renew;
+        fixture.settings.max_lease + fixture.predecessors.renew;
     fixture.Advance(longest - 8500ms);
     CHECK(fixture.starts.empty());
     fixture.Advance(1500ms);
--- a/tests/protocol/job_records_test.cc
+++ b/tests/protocol/job_records_test.cc
@@ -52,6 +52,20 @@
   CHECK(read.spec == written.spec);
 }
 
+TEST_CASE("an owner row is read with and without its windows") {
+  const jobs::OwnerRow written{
+      InstanceId{"owner"}, Epoch{3, 0}, 7, {1500ms, 20ms}};
+  const std::string encoded = Encode(written);
+  CHECK(DecodeOwnerRow(encoded) == written);
+  // As it was stored before it had windows.
+  constexpr std::size_t kWindowsSize = 2 * sizeof(Duration::rep);
+  const jobs::OwnerRow read =
+      DecodeOwnerRow(encoded.substr(0, encoded.size() - kWindowsSize));
+  CHECK(read.owner == written.owner);
+  CHECK(read.write == written.write);
+  CHECK(read.predecessors == jobs::PredecessorWindows{});
+}
+
 TEST_CASE("a relayed request and its outcome round-trip") {
   site::Transaction transaction;
   transaction.conditions.push_back({{"t", "p", "k"}, {7}});
