Reconcile a worker only when it has listed every end

Cause: a report holds at most 500 ends; a worker counted as reconciled after its first report, whether it had more ends or not. The tasks of the others were taken for tasks without a run.

Ruled out: ends acknowledged without a commit (all 1,000 were reported to the second owner); rows that cannot be decoded (none logged, exactly 500 missing).

Change: WorkerReport::more_ends, set by the adapter for a report with as many ends as it can hold. Such a report neither reconciles its worker nor shows that a run is gone; log line report_partial. Why it works: an owner starts no task of an old job until each enrolled worker is reconciled, and a report with fewer ends than it can hold lists all that were not acknowledged.

--- a/packages/jobs/include/jasminespar/jobs/messages.h
+++ b/packages/jobs/include/jasminespar/jobs/messages.h
@@ -173,9 +173,10 @@
   kOrderRefused,
   kRunLost,
   kReclaimPostponed,
+  kReportPartial,
 };
 
-inline constexpr NameTable<DecisionKind, 16> kDecisionNames{{
+inline constexpr NameTable<DecisionKind, 17> kDecisionNames{{
     {DecisionKind::kStart, "start", "A start was ordered."},
     {DecisionKind::kStop, "stop", "A stop was ordered."},
     {DecisionKind::kRunEnded, "run_ended", "A worker reported an ended run."},
@@ -198,6 +199,8 @@
      "A run has ended for certain but was never listed."},
     {DecisionKind::kReclaimPostponed, "reclaim_postponed",
      "Preemption would discard too much work for now."},
+    {DecisionKind::kReportPartial, "report_partial",
+     "A worker has more ended runs than its report holds."},
 }};
 static_assert(IsDense(kDecisionNames));
 
--- a/packages/jobs/include/jasminespar/jobs/worker.h
+++ b/packages/jobs/include/jasminespar/jobs/worker.h
@@ -60,6 +60,8 @@
   bool leaving = false;
   std::vector<ListedRun> runs;
   std::vector<EndedRun> ends;  ///< Not yet acknowledged, oldest first.
+  /// Whether it may have more ends, which it lists once these are acknowledged.
+  bool more_ends = false;
   /// Whether every listed run and end could be read.
   bool complete = true;
 };
--- a/packages/jobs/src/worker_polls.cc
+++ b/packages/jobs/src/worker_polls.cc
@@ -100,7 +100,8 @@
                       now.steady - worker.last_answer);
   }
   worker.last_answer = now.steady;
-  if (!std::exchange(worker.reconciled, true)) {
+  if (!worker.reconciled && !report.more_ends) {
+    worker.reconciled = true;
     // The worker refuses orders of earlier owners from now on.
     worker.lease_expires_at =
         std::min(worker.lease_expires_at,
@@ -118,8 +119,14 @@
     HandleRunEnd(worker, end, now);
   }
   for (const ListedRun& run : report.runs) HandleListedRun(worker, run, now);
-  // A run that is missing from an incomplete report may exist.
-  if (report.complete) RemoveUnlistedRuns(worker, poll, report, now);
+  if (report.more_ends) {
+    LogWorkerDecision(DecisionKind::kReportPartial, worker.entry.name, {});
+  }
+  // A run that is missing from an incomplete report may exist, or its end may
+  // not be listed yet.
+  if (report.complete && !report.more_ends) {
+    RemoveUnlistedRuns(worker, poll, report, now);
+  }
   if (worker.processed_to != worker.durable_to) {
     worker.next_poll = now.steady + kUncommittedPollInterval;
   } else if (worker.placed_runs.empty()) {
--- a/packages/jobs/src/worker_pool.h
+++ b/packages/jobs/src/worker_pool.h
@@ -57,8 +57,8 @@
   std::optional<TimePoint> leaving_since;
   bool enrolled = false;  ///< It is stored in the table, so it may get work.
   bool leaving = false;
-  /// All its runs are known: it has reported to this owner, got no order from
-  /// an earlier one, or its lease expired.
+  /// All its runs are known: it has reported to this owner and listed every
+  /// end, it got no order from an earlier one, or its lease expired.
   bool reconciled = false;
 
   std::optional<WorkerClock> clock;  ///< The worker's clock at `clock_at`.
--- a/tests/fleet/codec_test.cc
+++ b/tests/fleet/codec_test.cc
@@ -67,6 +67,25 @@
   CHECK(report.ends[0].ending == jobs::RunEnding::kDone);
 }
 
+TEST_CASE("a report with as many ends as it can hold may not be the last") {
+  const auto report_of = [](std::size_t ends, const Json& extra) {
+    Json finished = Json::array();
+    for (std::size_t i = 1; i <= ends; ++i) {
+      finished.push_back({i, "5c0e7a21d94b36f8.0.1.9", i, "done", ""});
+    }
+    if (!extra.is_null()) finished.push_back(extra);
+    const Json body{{"clock_ms", 1}, {"finished", finished}};
+    return std::get<jobs::WorkerReport>(kCodec.worker.decode_response(
+        OrderOf(jobs::PollWorker{}), ResponseOf(200, body.dump())));
+  };
+  CHECK_FALSE(report_of(0, nullptr).more_ends);
+  CHECK_FALSE(report_of(499, nullptr).more_ends);
+  CHECK(report_of(500, nullptr).more_ends);
+  // A row that cannot be decoded was returned all the same.
+  CHECK(report_of(499, "odd").more_ends);
+  CHECK_FALSE(report_of(499, "odd").complete);
+}
+
 TEST_CASE("an answer that does not say what was done counts as none") {
   const jobs::SendOrder stop = OrderOf(jobs::StopRun{});
   for (const int status : {500, 502, 504}) {
--- a/tests/jobs/dispatcher_fixture.h
+++ b/tests/jobs/dispatcher_fixture.h
@@ -113,6 +113,14 @@
     }
   }
 
+  /// Answers the commit in flight, if any, and all later ones.
+  void AnswerCommits() {
+    answer_commits = true;
+    if (unanswered_commit_) {
+      Feed(CommitDone{*std::exchange(unanswered_commit_, std::nullopt)});
+    }
+  }
+
   /// Ends a run at its worker; the next poll reports it.
   void End(const std::string& worker, const TaskName& task, RunNumber run,
            RunEnding ending) {
@@ -130,6 +138,8 @@
   Now now{TimePoint(1h), {1'000'000}};
   std::map<std::string, WorkerReport> reports;
   std::map<std::string, std::uint64_t> last_end;
+  /// Most ends that a worker lists in one report, the oldest first.
+  std::size_t ends_per_report = 500;
   std::map<std::string, bool> unresponsive;  ///< Workers that answer no poll.
   std::vector<SendOrder> starts;
   std::vector<SendOrder> stops;
@@ -184,7 +194,10 @@
     }
     report.clock.value = static_cast<std::uint64_t>(
         ToMilliseconds(now.steady.time_since_epoch()));
-    Answer(order, report);
+    WorkerReport page = report;
+    page.more_ends = page.ends.size() >= ends_per_report;
+    if (page.more_ends) page.ends.resize(ends_per_report);
+    Answer(order, std::move(page));
   }
 
   void HandleCommit(Commit commit) {
@@ -203,8 +216,14 @@
                     commit.statuses.end());
     departed.insert(departed.end(), commit.departed.begin(),
                     commit.departed.end());
-    if (answer_commits) Feed(CommitDone{commit.commit});
+    if (answer_commits) {
+      Feed(CommitDone{commit.commit});
+    } else {
+      unanswered_commit_ = commit.commit;
+    }
   }
+
+  std::optional<CommitNumber> unanswered_commit_;
 };
 
 }  // namespace jasminespar::jobs
