Split the progress of a job over rows that the table accepts

Cause: the progress of a job was one row, 36 bytes for each task with a failed run, and grew over the 64 KB of a row. The table rejected the commit, and the owner stepped down; each next owner built the same row from the same ends.

Evidence: logs of the case on the code before: commit_malformed with writes=2, cell_lost, cell_claimed of the next owner, 40 times in 47 s.

Ruled out: a row that cannot be read (no row_unreadable), a transaction over 1 MB (two writes).

Change: the tasks of a job are split into ranges by size, each a row of its own; only changed ranges are written. [table] max_row says what the table accepts, filled in from the platform's row_bytes. A commit that is rejected all the same is divided and sent again in the same epoch. Why it works: no row is above the limit whatever count, attempts and checkpoints are; the last range is written first and later rows supersede earlier ones, so that every prefix of the writes is a state to go on from; ends are acknowledged only when all changed ranges are written.

Commits moved to commits.cc.

--- a/benchmark/owner_cost.cc
+++ b/benchmark/owner_cost.cc
@@ -144,6 +144,7 @@
                                                 now_));
                      },
                      [](jobs::Decision&) {},
+                     [](jobs::ResignOwnership&) {},
                  },
                  effect);
     }
--- a/packages/jobs/include/jasminespar/jobs/dispatcher.h
+++ b/packages/jobs/include/jasminespar/jobs/dispatcher.h
@@ -5,6 +5,7 @@
 #define JASMINESPAR_JOBS_DISPATCHER_H_
 
 #include <algorithm>
+#include <cstddef>
 #include <memory>
 #include <vector>
 
@@ -20,6 +21,7 @@
   Duration resume_delay = 250ms;
   Duration stop_limit = 900ms;  ///< Longest time a worker takes to stop a run.
   Duration reclaim_within = 3400ms;  ///< Bound on the start of guaranteed work.
+  std::size_t max_row_bytes = 64U << 10;  ///< Of a row of the table.
 };
 
 /// How long earlier owners of the cell, which may not know of its present one,
--- a/packages/jobs/include/jasminespar/jobs/messages.h
+++ b/packages/jobs/include/jasminespar/jobs/messages.h
@@ -33,11 +33,11 @@
   std::shared_ptr<const ConfigurationSnapshot> configuration;
 };
 
-/// A job was read from the table. `progress` is what earlier owners recorded;
-/// it is empty for a new job.
+/// A job was read from the table. `progress` is what earlier owners recorded,
+/// in any order; it is empty for a new job.
 struct JobLoaded {
   AcceptedJob job;
-  JobProgress progress;
+  std::vector<JobProgress> progress;
 };
 
 struct JobCancelled {
@@ -98,10 +98,15 @@
   CommitNumber commit;
 };
 
+/// The table rejects the commit, and would do so again. None of it was done.
+struct CommitRejected {
+  CommitNumber commit;
+};
+
 using DispatcherInput =
     std::variant<ConfigurationChanged, JobLoaded, JobCancelled, WorkerListed,
                  WorkerUnlisted, WorkerListConfirmed, WorkerEnrolled,
-                 OrderEnded, CommitDone>;
+                 OrderEnded, CommitDone, CommitRejected>;
 
 // ---- Effects ----
 
@@ -140,16 +145,27 @@
 /// forgotten jobs. A transaction of the table holds at most 100 rows.
 inline constexpr std::size_t kMaxCommitRows = 80;
 
-/// Most tasks whose progress one commit holds; a single larger job is committed
-/// alone. A transaction of the table holds at most one megabyte.
+/// Most tasks whose progress one commit holds.
 inline constexpr std::size_t kMaxCommitTasks = 4000;
 
-/// Writes to the table; answered with CommitDone when all of them are durable.
+/// Most bytes of progress in one commit, before their encoding for the table. A
+/// transaction of the table holds at most one megabyte after it.
+inline constexpr std::size_t kMaxCommitBytes = 512U << 10;
+
+/// A job whose rows are deleted.
+struct ForgottenJob {
+  JobId job;
+  /// Of each of its rows of progress, the position of the first task.
+  std::vector<std::uint32_t> progress_rows;
+};
+
+/// Writes to the table; answered with CommitDone when all of them are durable,
+/// or with CommitRejected.
 struct Commit {
   CommitNumber commit;
   std::vector<JobProgress> progress;
   std::vector<JobStatus> statuses;
-  std::vector<JobId> forgotten;          ///< Jobs whose rows are deleted.
+  std::vector<ForgottenJob> forgotten;
   std::vector<WorkerEnrolled> enrolled;  ///< Workers to store.
   /// Stored workers to delete: no run can be left on them.
   std::vector<WorkerName> departed;
@@ -174,9 +190,11 @@
   kRunLost,
   kReclaimPostponed,
   kReportPartial,
+  kCommitSplit,
+  kCheckpointNotStored,
 };
 
-inline constexpr NameTable<DecisionKind, 17> kDecisionNames{{
+inline constexpr NameTable<DecisionKind, 19> kDecisionNames{{
     {DecisionKind::kStart, "start", "A start was ordered."},
     {DecisionKind::kStop, "stop", "A stop was ordered."},
     {DecisionKind::kRunEnded, "run_ended", "A worker reported an ended run."},
@@ -201,6 +219,10 @@
      "Preemption would discard too much work for now."},
     {DecisionKind::kReportPartial, "report_partial",
      "A worker has more ended runs than its report holds."},
+    {DecisionKind::kCommitSplit, "commit_split",
+     "The table rejected a commit, so smaller ones follow."},
+    {DecisionKind::kCheckpointNotStored, "checkpoint_not_stored",
+     "A checkpoint does not fit into a row; the next owner lacks it."},
 }};
 static_assert(IsDense(kDecisionNames));
 
@@ -251,7 +273,11 @@
   Duration age{};  ///< Age of the job, or time since the worker last answered.
 };
 
-using DispatcherEffect = std::variant<SendOrder, Commit, Decision>;
+/// The table rejects commits of any size, so this owner cannot go on.
+struct ResignOwnership {};
+
+using DispatcherEffect =
+    std::variant<SendOrder, Commit, Decision, ResignOwnership>;
 
 }  // namespace jasminespar::jobs
 
--- a/packages/jobs/include/jasminespar/jobs/progress.h
+++ b/packages/jobs/include/jasminespar/jobs/progress.h
@@ -4,6 +4,7 @@
 #ifndef JASMINESPAR_JOBS_PROGRESS_H_
 #define JASMINESPAR_JOBS_PROGRESS_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -26,12 +27,19 @@
   bool operator==(const TaskProgress&) const = default;
 };
 
+/// Durable progress of a range of a job's tasks; one row of the table. The
+/// tasks are counted through all occurrences and their steps. A range ends
+/// where the job's next one begins.
 struct JobProgress {
   JobId job;
   JobPhase phase = JobPhase::kQueued;
   std::vector<TaskProgress> tasks;
+  std::uint32_t first_task = 0;  ///< Position of the first task of the range.
 };
 
+/// @return upper bound of the bytes that the stored form of the progress takes.
+[[nodiscard]] std::size_t StoredSizeBound(const JobProgress& progress);
+
 /// Status of a job as every instance reports it to callers.
 struct JobStatus {
   JobId job;
--- a/packages/jobs/src/dispatcher.cc
+++ b/packages/jobs/src/dispatcher.cc
@@ -9,12 +9,6 @@
 
 namespace {
 
-/// Most jobs that one commit deletes; their rows are deleted separately.
-constexpr std::size_t kForgottenPerCommit = 20;
-
-/// Rows of one job in a commit: its progress and its status.
-constexpr std::size_t kRowsPerJob = 2;
-
 /// If the entry of a worker is removed within this time after it began to
 /// leave, the worker has ended. Later, the entry may only have expired: entries
 /// do so after 4.5 s without the worker, and its change is seen up to
@@ -191,99 +185,6 @@
   }
 }
 
-void Dispatcher::Impl::On(const CommitDone& done, const Now& now) {
-  if (done.commit.value != last_commit_) return;
-  commit_in_flight_ = false;
-  for (const WorkerName& name : std::exchange(enrolling_, {})) {
-    const auto found = workers_.find(name);
-    if (found != workers_.end()) found->second.enrolled = true;
-  }
-  for (const WorkerName& name : std::exchange(departing_, {})) {
-    const auto found = workers_.find(name);
-    if (found == workers_.end() || found->second.listed) continue;
-    if (found->second.polls_in_flight == 0) {
-      workers_.erase(found);
-    } else {
-      found->second.enrolled = false;
-    }
-  }
-  for (auto& [name, worker] : workers_) {
-    if (worker.durable_to == worker.committing_to) continue;
-    worker.durable_to = worker.committing_to;
-    worker.next_poll = now.steady;
-  }
-}
-
-std::size_t Dispatcher::Impl::CommitJobs(Commit& commit) {
-  std::size_t rows = 0;
-  std::size_t tasks = 0;
-  while (!dirty_.empty() && rows + kRowsPerJob <= kMaxCommitRows) {
-    JobState& job = jobs_.at(*dirty_.begin());
-    JobProgress progress = ProgressOf(job);
-    const bool fits = tasks + progress.tasks.size() <= kMaxCommitTasks;
-    if (!fits && !commit.progress.empty()) break;
-    dirty_.erase(dirty_.begin());
-    tasks += progress.tasks.size();
-    commit.progress.push_back(std::move(progress));
-    if (job.status_dirty) commit.statuses.push_back(StatusOf(job));
-    job.dirty = false;
-    job.status_dirty = false;
-    rows = commit.progress.size() + commit.statuses.size();
-  }
-  return rows;
-}
-
-void Dispatcher::Impl::SendCommit(const Now& now) {
-  if (commit_in_flight_) return;
-  Commit commit;
-  std::size_t rows = CommitJobs(commit);
-  for (auto& [name, worker] : workers_) {
-    if (rows == kMaxCommitRows) break;
-    if (HasDeparted(worker, now.steady)) {
-      commit.departed.push_back(name);
-      departing_.push_back(name);
-      ++rows;
-    } else if (worker.listed && !worker.enrolled && !worker.leaving &&
-               worker.clock) {
-      // The next owner waits for enrolled workers, so an entry that no worker
-      // answers for is not enrolled.
-      commit.enrolled.push_back({name, worker.entry.host, worker.entry.port});
-      enrolling_.push_back(name);
-      ++rows;
-    }
-  }
-  while (!to_forget_.empty() && commit.forgotten.size() < kForgottenPerCommit) {
-    commit.forgotten.push_back(std::move(to_forget_.back()));
-    to_forget_.pop_back();
-  }
-  // Ended runs are acknowledged only when every job they changed is written.
-  if (dirty_.empty()) {
-    for (auto& [name, worker] : workers_) {
-      worker.committing_to = worker.processed_to;
-    }
-  }
-  if (commit.progress.empty() && commit.enrolled.empty() &&
-      commit.departed.empty() && commit.forgotten.empty()) {
-    for (auto& [name, worker] : workers_) {
-      worker.durable_to = worker.committing_to;
-    }
-    return;
-  }
-  commit_in_flight_ = true;
-  commit.commit = CommitNumber{++last_commit_};
-  effects_.emplace_back(std::move(commit));
-}
-
-void Dispatcher::Impl::ForgetOldJobs(const Now& now) {
-  std::erase_if(jobs_, [&](const auto& entry) {
-    const JobState& job = entry.second;
-    if (job.live() || job.dirty) return false;
-    if (now.steady - job.final_at < settings_.status_retention) return false;
-    to_forget_.push_back(entry.first);
-    return true;
-  });
-}
-
 JobState* Dispatcher::Impl::FindJob(const JobId& id) {
   const auto found = jobs_.find(id);
   return found == jobs_.end() ? nullptr : &found->second;
--- a/packages/jobs/src/dispatcher_impl.h
+++ b/packages/jobs/src/dispatcher_impl.h
@@ -5,9 +5,12 @@
 #ifndef JASMINESPAR_JOBS_SRC_DISPATCHER_IMPL_H_
 #define JASMINESPAR_JOBS_SRC_DISPATCHER_IMPL_H_
 
+#include <algorithm>
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -36,7 +39,10 @@
  public:
   Impl(const DispatcherSettings& settings, Epoch epoch,
        const PredecessorWindows& predecessors)
-      : settings_(settings), epoch_(epoch), predecessors_(predecessors) {}
+      : settings_(settings),
+        epoch_(epoch),
+        predecessors_(predecessors),
+        max_row_bytes_(std::min(settings.max_row_bytes, kMaxCommitBytes)) {}
 
   void FinishLoading(TimePoint now);
   void Handle(DispatcherInput input, const Now& now);
@@ -54,7 +60,14 @@
     enum class Kind : std::uint8_t { kStart, kStop, kPoll } kind = Kind::kPoll;
   };
 
-  // dispatcher.cc: inputs and commits.
+  /// A commit that is being filled.
+  struct CommitDraft {
+    Commit& commit;
+    std::size_t tasks = 0;  ///< Whose progress it holds.
+    std::size_t bytes = 0;  ///< Of its progress.
+  };
+
+  // dispatcher.cc: inputs.
   void On(ConfigurationChanged change, const Now& now);
   void On(JobLoaded found, const Now& now);
   void On(const JobCancelled& cancelled, const Now& now);
@@ -63,13 +76,30 @@
   void On(const WorkerListConfirmed& confirmed, const Now& now);
   void On(const WorkerEnrolled& enrolled, const Now& now);
   void On(OrderEnded ended, const Now& now);
+
+  // commits.cc: what is written to the table.
   void On(const CommitDone& done, const Now& now);
+  /// Divides what the commit held among smaller ones.
+  void On(const CommitRejected& rejected, const Now& now);
+  /// Marks the range with the task at that position of the job for writing.
+  void MarkDirty(JobState& job, std::uint32_t position);
+  void MarkDirty(JobState& job, const StepState& step, std::uint32_t index) {
+    MarkDirty(job, step.first_task + index);
+  }
+  /// Splits the range until its last part fits into a row.
+  /// @param range index of the range; on return, of that part.
+  /// @return progress of that part.
+  [[nodiscard]] JobProgress FittingProgress(JobState& job, std::size_t& range);
+  /// Adds the ranges of the job that must be written to the commit, as long as
+  /// they fit.
+  /// @return whether all did.
+  bool CommitRanges(JobState& job, CommitDraft& draft);
+  /// Adds progress and statuses of changed jobs, as long as they fit.
+  void CommitJobs(Commit& commit);
+  /// Adds the workers to enrol and to delete, as long as they fit.
+  void CommitWorkers(Commit& commit, TimePoint now);
   /// Commits changes, unless a commit is still in flight.
   void SendCommit(const Now& now);
-  /// Adds progress and statuses of changed jobs to the commit, within its
-  /// limits.
-  /// @return number of rows in the commit.
-  std::size_t CommitJobs(Commit& commit);
   /// Removes ended jobs after their retention and marks their rows for
   /// deletion.
   void ForgetOldJobs(const Now& now);
@@ -148,7 +178,6 @@
   /// Sends a stop, unless the run is being stopped already.
   void BeginStop(WorkerState& worker, const TaskName& name, PlacedRun& placed,
                  DecisionCause cause, const Now& now);
-  void MarkDirty(JobState& job) { job.dirty = true, dirty_.insert(job.job.id); }
 
   // starts.cc: choice of the tasks to start.
   void StartWaitingTasks(const Now& now);
@@ -255,12 +284,12 @@
   TimePoint worker_list_as_of_;
   std::map<OrderNumber, PendingOrder> orders_;
   std::set<JobId> dirty_;
-  std::vector<JobId> to_forget_;
+  std::vector<ForgottenJob> to_forget_;
   bool loaded_ = false;
   bool all_reconciled_ = false;
-  bool commit_in_flight_ = false;
-  std::vector<WorkerName> enrolling_;  ///< In the commit in flight.
-  std::vector<WorkerName> departing_;  ///< In the commit in flight.
+  std::optional<Commit> commit_in_flight_;
+  std::size_t max_row_bytes_;  ///< Smaller after a commit was rejected.
+  std::size_t max_commit_bytes_ = kMaxCommitBytes;
   std::uint64_t last_order_ = 0;
   std::uint64_t last_commit_ = 0;
   std::uint64_t last_run_ = 0;
--- a/packages/jobs/src/job_table.h
+++ b/packages/jobs/src/job_table.h
@@ -4,6 +4,7 @@
 #ifndef JASMINESPAR_JOBS_SRC_JOB_TABLE_H_
 #define JASMINESPAR_JOBS_SRC_JOB_TABLE_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -31,6 +32,7 @@
 struct StepState {
   std::uint32_t occurrence = 0;
   std::uint32_t step = 0;
+  std::uint32_t first_task = 0;  ///< Position of its first task in the job.
   std::vector<TaskState> tasks;
   std::uint32_t done = 0;
   std::uint32_t active = 0;
@@ -45,6 +47,12 @@
   }
 };
 
+/// Tasks of a job whose progress is one row of the table, up to the next range.
+struct ProgressRange {
+  std::uint32_t first_task = 0;
+  bool dirty = false;  ///< It must be written.
+};
+
 struct JobState {
   AcceptedJob job;
   QueueConfiguration queue;  ///< Its latest configuration.
@@ -56,7 +64,10 @@
   TimePoint loaded_at;
   TimePoint final_at;
   Duration age_when_loaded{};
-  bool dirty = false;         ///< Progress must be written.
+  /// By first task; the first one begins with the first task. A range that no
+  /// longer fits into a row is split.
+  std::vector<ProgressRange> ranges;
+  bool dirty = false;         ///< A range or the status must be written.
   bool status_dirty = false;  ///< Status must be written.
 
   [[nodiscard]] const StepSpec& SpecOf(const StepState& step) const {
@@ -80,8 +91,16 @@
 /// @return the task of that name, or null.
 [[nodiscard]] TaskState* FindTask(JobState& job, const TaskName& name);
 
-/// @return the progress to store for a job.
-[[nodiscard]] JobProgress ProgressOf(const JobState& job);
+/// @return the progress to store for a range of a job, by its index.
+[[nodiscard]] JobProgress ProgressOf(const JobState& job, std::size_t range);
+
+/// @param position of a task in the job.
+/// @return the range that the task is in.
+[[nodiscard]] ProgressRange& RangeAt(JobState& job, std::uint32_t position);
+
+/// Splits a range into two halves; both have to be written.
+/// @return whether it had more than one task and was split.
+bool SplitRange(JobState& job, std::size_t range);
 
 [[nodiscard]] JobStatus StatusOf(const JobState& job);
 
--- a/packages/jobs/src/orders.cc
+++ b/packages/jobs/src/orders.cc
@@ -88,7 +88,7 @@
   if (job == nullptr || job->phase != JobPhase::kQueued) return;
   job->phase = JobPhase::kRunning;
   job->status_dirty = true;
-  MarkDirty(*job);
+  MarkDirty(*job, 0);
 }
 
 void Dispatcher::Impl::HandleRefusedStart(WorkerState& worker,
--- a/packages/jobs/src/run_ends.cc
+++ b/packages/jobs/src/run_ends.cc
@@ -12,6 +12,11 @@
 
 constexpr Duration kFailureQuarantine = 6s;
 
+/// @param task of the step.
+std::uint32_t IndexOf(const StepState& step, const TaskState& task) {
+  return static_cast<std::uint32_t>(&task - step.tasks.data());
+}
+
 }  // namespace
 
 void Dispatcher::Impl::HandleRunEnd(WorkerState& worker, const EndedRun& end,
@@ -70,7 +75,7 @@
   std::vector<RunNumber>& failed = counted.failed_runs;
   if (std::find(failed.begin(), failed.end(), end.run) != failed.end()) return;
   failed.push_back(end.run);
-  MarkDirty(job);
+  MarkDirty(job, step, spec.gang ? 0 : end.task.index);
   if (failed.size() < job.queue.max_attempts) return;
   LogJobDecision(DecisionKind::kJobFailed, job, worker.entry.name.value, now);
   EndJob(job, JobPhase::kFailed, now);
@@ -78,20 +83,20 @@
 
 void Dispatcher::Impl::MarkDone(JobState& job, StepState& step, TaskState& task,
                                 const Now& now) {
+  const bool known = task.phase == TaskPhase::kDone;
   const auto mark = [&](TaskState& each) {
     if (each.phase == TaskPhase::kDone) return;
     if (each.phase == TaskPhase::kActive) --step.active;
     each.phase = TaskPhase::kDone;
     ++step.done;
+    MarkDirty(job, step, IndexOf(step, each));
   };
-  const bool known = task.phase == TaskPhase::kDone;
   if (job.SpecOf(step).gang) {
     for (TaskState& each : step.tasks) mark(each);
   } else {
     mark(task);
   }
   if (known) return;
-  MarkDirty(job);
   if (step.finished()) CancelPlan(job, step);
   const bool finished =
       std::all_of(job.steps.begin(), job.steps.end(),
@@ -104,12 +109,15 @@
 void Dispatcher::Impl::RecordCheckpoint(JobState& job, StepState& step,
                                         TaskState& task,
                                         const std::string& checkpoint) {
+  const auto record = [&](TaskState& each) {
+    each.checkpoint = checkpoint;
+    MarkDirty(job, step, IndexOf(step, each));
+  };
   if (!job.SpecOf(step).gang) {
-    task.checkpoint = checkpoint;
+    record(task);
   } else {
-    for (TaskState& each : step.tasks) each.checkpoint = checkpoint;
+    for (TaskState& each : step.tasks) record(each);
   }
-  MarkDirty(job);
 }
 
 void Dispatcher::Impl::RequeueTask(JobState&, StepState& step, TaskState& task,
@@ -145,7 +153,7 @@
   job.phase = phase;
   job.final_at = now.steady;
   job.status_dirty = true;
-  MarkDirty(job);
+  MarkDirty(job, 0);
   live_.erase(job.job.id);
   for (StepState& step : job.steps) CancelPlan(job, step);
   // The remaining members of a completed gang end on their own.
--- a/packages/jobs/src/worker_polls.cc
+++ b/packages/jobs/src/worker_polls.cc
@@ -210,7 +210,7 @@
   if (job->phase != JobPhase::kQueued) return;
   job->phase = JobPhase::kRunning;
   job->status_dirty = true;
-  MarkDirty(*job);
+  MarkDirty(*job, 0);
 }
 
 void Dispatcher::Impl::RemoveUnlistedRuns(WorkerState& worker,
--- a/packages/jobserver/include/jasminespar/jobserver/dispatch_duty.h
+++ b/packages/jobserver/include/jasminespar/jobserver/dispatch_duty.h
@@ -85,12 +85,13 @@
   void PerformEffect(jobs::SendOrder& order);
   void PerformEffect(jobs::Commit& commit);
   void PerformEffect(jobs::Decision& decision);
+  void PerformEffect(jobs::ResignOwnership&);
 
   /// Claims, renews or releases the cell if that is due and no owner write is
   /// in flight.
   void AdvanceOwnership();
   /// Deletes the rows of these jobs in the jobs' own partitions.
-  void DeleteJobRows(const std::vector<jobs::JobId>& jobs);
+  void DeleteJobRows(const std::vector<jobs::ForgottenJob>& jobs);
   /// Adds the owner row, as condition and as write, and sends the transaction.
   void SendOwnerWrite(OwnerWrite write);
   void SendNextCommit();
@@ -98,6 +99,7 @@
   void SendInFlightWrite();
   void HandleOwnerWriteOutcome(const site::TableOutcome& outcome);
   void HandleOwnerWriteSuccess(jobs::RowVersion version);
+  void HandleMalformedWrite();
   void RecordOwnerFrom(const site::Conflict& conflict);
   /// @param row that claimed the cell.
   void BeginEpoch(const jobs::OwnerRow& row);
@@ -125,10 +127,9 @@
   std::optional<OwnerWrite> in_flight_;
   std::optional<jobs::Commit> pending_commit_;
   /// Jobs whose own rows are being deleted, by the number of the write.
-  std::map<std::uint64_t, jobs::JobId> job_row_deletes_;
-  /// Jobs whose own rows are deleted; a commit deletes those in the cell's
-  /// partition.
-  std::vector<jobs::JobId> deletable_jobs_;
+  std::map<std::uint64_t, jobs::ForgottenJob> job_row_deletes_;
+  /// Rows in the cell's partition of jobs whose own rows are deleted.
+  std::vector<site::RowKey> deletable_rows_;
   std::uint64_t last_write_ = 0;
   bool decision_scheduled_ = false;
   bool release_requested_ = false;
--- a/packages/jobserver/include/jasminespar/jobserver/messages.h
+++ b/packages/jobserver/include/jasminespar/jobserver/messages.h
@@ -92,7 +92,7 @@
 struct JobUpdate {
   Epoch epoch;
   jobs::AcceptedJob job;
-  jobs::JobProgress progress;
+  std::vector<jobs::JobProgress> progress;  ///< Recorded by earlier owners.
 };
 /// A worker that an owner has enrolled, as the table stores it.
 struct EnrolledWorkerFound {
--- a/packages/jobserver/include/jasminespar/jobserver/store_link.h
+++ b/packages/jobserver/include/jasminespar/jobserver/store_link.h
@@ -126,7 +126,7 @@
   std::set<std::string> listed_workers_;
   std::set<std::string> members_;    ///< Instances that the table lists.
   std::set<std::string> cancelled_;  ///< Jobs with a cancellation row.
-  std::map<std::string, jobs::JobProgress> loaded_progress_;
+  std::map<jobs::JobId, std::vector<jobs::JobProgress>> loaded_progress_;
   bool workers_loaded_ = false;
   bool jobs_loaded_ = false;
   TimePoint last_answer_notified_at_;
--- a/packages/jobserver/include/jasminespar/jobserver/table_layout.h
+++ b/packages/jobserver/include/jasminespar/jobserver/table_layout.h
@@ -6,6 +6,9 @@
 #define JASMINESPAR_JOBSERVER_TABLE_LAYOUT_H_
 
 #include <array>
+#include <charconv>
+#include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -30,6 +33,7 @@
 inline constexpr std::string_view kOwnerKey = "owner";
 inline constexpr std::string_view kJobTable = "jobs";
 inline constexpr std::string_view kProgressTable = "progress";
+inline constexpr char kRangeSeparator = '.';
 /// Statuses shown to callers, and their cancellations. A status is in the job's
 /// partition from acceptance on, and also in the owner's partition once the
 /// owner knows of the job.
@@ -53,6 +57,33 @@
   return CellRowKey(kOwnerTable, kOwnerKey);
 }
 
+/// @param first_task position of the first task of the row's range.
+/// @return the key of a row of a job's progress: its id, and for another than
+///     its first range a separator and the position.
+[[nodiscard]] inline site::RowKey ProgressRowKey(const jobs::JobId& job,
+                                                 std::uint32_t first_task) {
+  std::string key = job.value;
+  if (first_task > 0) key += kRangeSeparator + std::to_string(first_task);
+  return CellRowKey(kProgressTable, key);
+}
+
+/// @param key of a row of the job's progress.
+/// @return position of the first task of the row's range; nothing if the key is
+///     none that ProgressRowKey makes for the job.
+[[nodiscard]] inline std::optional<std::uint32_t> FirstTaskOf(
+    const jobs::JobId& job, std::string_view key) {
+  if (!key.starts_with(job.value)) return std::nullopt;
+  key.remove_prefix(job.value.size());
+  if (key.empty()) return 0;
+  if (key.front() != kRangeSeparator) return std::nullopt;
+  key.remove_prefix(1);
+  std::uint32_t first_task = 0;
+  const char* const end = key.data() + key.size();
+  const auto [stop, error] = std::from_chars(key.data(), end, first_task);
+  if (error != std::errc{} || stop != end) return std::nullopt;
+  return first_task;
+}
+
 /// @return the partition that holds the rows of a job, by the hash of its id.
 [[nodiscard]] inline std::string_view JobPartitionOf(const jobs::JobId& job) {
   return kJobPartitions[SeededHash(job.value, 0) % kJobPartitions.size()];
--- a/packages/jobserver/src/dispatch_duty.cc
+++ b/packages/jobserver/src/dispatch_duty.cc
@@ -145,7 +145,11 @@
   if (job != job_row_deletes_.end()) {
     // After a failure the rows remain until a later owner deletes them.
     if (std::holds_alternative<site::Committed>(completed.outcome)) {
-      deletable_jobs_.push_back(job->second);
+      const jobs::ForgottenJob& forgotten = job->second;
+      for (const std::uint32_t first_task : forgotten.progress_rows) {
+        deletable_rows_.push_back(ProgressRowKey(forgotten.job, first_task));
+      }
+      deletable_rows_.push_back(CellRowKey(kStatusTable, forgotten.job.value));
     }
     job_row_deletes_.erase(job);
     return;
--- a/packages/jobserver/src/job_server.cc
+++ b/packages/jobserver/src/job_server.cc
@@ -64,6 +64,7 @@
   dispatcher.resume_delay = settings.resume_delay;
   dispatcher.stop_limit = settings.stop_limit;
   dispatcher.reclaim_within = settings.reclaim_within;
+  dispatcher.max_row_bytes = settings.max_row_bytes;
   return dispatcher;
 }
 
--- a/packages/jobserver/src/owner_writes.cc
+++ b/packages/jobserver/src/owner_writes.cc
@@ -26,11 +26,11 @@
 /// Long, because nothing waits for these deletes.
 constexpr Duration kJobRowDeleteTimeout = 10s;
 
-/// Jobs whose two rows in the cell's partition one commit deletes. A table
-/// accepts a hundred rows in one transaction; the rest are the rows of the
-/// commit itself and the owner row, as a condition and as a write.
-constexpr std::size_t kDeletableJobsPerCommit = 9;
-static_assert(jobs::kMaxCommitRows + 2 * kDeletableJobsPerCommit + 2 <= 100);
+/// Rows of forgotten jobs in the cell's partition that one commit deletes. A
+/// table accepts a hundred rows in one transaction; the rest are the rows of
+/// the commit itself and the owner row, as a condition and as a write.
+constexpr std::size_t kDeletableRowsPerCommit = 18;
+static_assert(jobs::kMaxCommitRows + kDeletableRowsPerCommit + 2 <= 100);
 
 }  // namespace
 
@@ -72,7 +72,7 @@
   write.row = ownership_.RenewedRow(runtime::SteadyNow());
   std::vector<site::Row>& rows = write.transaction.writes;
   for (const jobs::JobProgress& progress : commit.progress) {
-    rows.push_back({CellRowKey(kProgressTable, progress.job.value),
+    rows.push_back({ProgressRowKey(progress.job, progress.first_task),
                     protocol::Encode(progress),
                     {}});
   }
@@ -90,28 +90,25 @@
     write.transaction.deletes.push_back(CellRowKey(kWorkerTable, worker.value));
   }
   for (std::size_t i = 0;
-       i < kDeletableJobsPerCommit && !deletable_jobs_.empty(); ++i) {
-    const jobs::JobId job = std::move(deletable_jobs_.back());
-    deletable_jobs_.pop_back();
-    std::vector<site::RowKey>& deletes = write.transaction.deletes;
-    deletes.push_back(CellRowKey(kProgressTable, job.value));
-    deletes.push_back(CellRowKey(kStatusTable, job.value));
+       i < kDeletableRowsPerCommit && !deletable_rows_.empty(); ++i) {
+    write.transaction.deletes.push_back(std::move(deletable_rows_.back()));
+    deletable_rows_.pop_back();
   }
   DeleteJobRows(commit.forgotten);
   SendOwnerWrite(std::move(write));
 }
 
-void DispatchDuty::DeleteJobRows(const std::vector<jobs::JobId>& jobs) {
-  // A job that lost its progress row first would run again, so the rows in its
+void DispatchDuty::DeleteJobRows(const std::vector<jobs::ForgottenJob>& jobs) {
+  // A job that lost its progress rows first would run again, so the rows in its
   // own partition are deleted first.
-  for (const jobs::JobId& job : jobs) {
+  for (const jobs::ForgottenJob& forgotten : jobs) {
     WriteRows write;
     write.number = ++last_write_;
     write.timeout = kJobRowDeleteTimeout;
-    write.transaction.deletes = {JobRowKey(kJobTable, job),
-                                 JobRowKey(kStatusTable, job),
-                                 CancellationKey(job)};
-    job_row_deletes_.emplace(write.number, job);
+    write.transaction.deletes = {JobRowKey(kJobTable, forgotten.job),
+                                 JobRowKey(kStatusTable, forgotten.job),
+                                 CancellationKey(forgotten.job)};
+    job_row_deletes_.emplace(write.number, forgotten);
     rings_.store.Send(std::move(write));
   }
 }
@@ -186,15 +183,7 @@
     return;
   }
   if (std::holds_alternative<site::Malformed>(outcome)) {
-    // The table would reject it again, so this owner steps down and the next
-    // one starts from the stored rows.
-    log_.Log(Event::kCommitMalformed,
-             {{"write", in_flight_->row.write},
-              {"writes", in_flight_->transaction.writes.size()},
-              {"deletes", in_flight_->transaction.deletes.size()}});
-    ownership_.HandleOwnershipLost(now);
-    StepDown();
-    in_flight_.reset();
+    HandleMalformedWrite();
     return;
   }
   const bool claim = in_flight_->kind == OwnerWrite::Kind::kClaim;
@@ -210,6 +199,27 @@
   SendInFlightWrite();
 }
 
+void DispatchDuty::HandleMalformedWrite() {
+  // The table would reject it again.
+  const OwnerWrite write = *std::exchange(in_flight_, std::nullopt);
+  log_.Log(Event::kCommitMalformed,
+           {{"write", write.row.write},
+            {"writes", write.transaction.writes.size()},
+            {"deletes", write.transaction.deletes.size()}});
+  if (write.kind == OwnerWrite::Kind::kCommit && dispatcher_ != nullptr) {
+    // Rows of forgotten jobs that it was to delete remain.
+    HandleInput(jobs::CommitRejected{write.commit});
+    return;
+  }
+  ownership_.HandleOwnershipLost(runtime::SteadyNow());
+  StepDown();
+}
+
+void DispatchDuty::PerformEffect(jobs::ResignOwnership&) {
+  ownership_.HandleOwnershipLost(runtime::SteadyNow());
+  StepDown();
+}
+
 void DispatchDuty::HandleOwnerWriteSuccess(jobs::RowVersion version) {
   const OwnerWrite write = *std::exchange(in_flight_, std::nullopt);
   const TimePoint now = runtime::SteadyNow();
@@ -266,7 +276,7 @@
   pending_commit_.reset();
   in_flight_.reset();
   job_row_deletes_.clear();
-  deletable_jobs_.clear();
+  deletable_rows_.clear();
   owns_ = false;
   rings_.peers.Send(CellOwned{false});
   rings_.store.Send(EndOwnership{});
--- a/packages/jobserver/src/store_watches.cc
+++ b/packages/jobserver/src/store_watches.cc
@@ -219,7 +219,14 @@
   loaded_progress_.clear();
   for (const site::Row& row : tables[std::string(kProgressTable)]) {
     try {
-      loaded_progress_[row.key.key] = protocol::DecodeJobProgress(row.value);
+      jobs::JobProgress progress = protocol::DecodeJobProgress(row.value);
+      const auto first_task = FirstTaskOf(progress.job, row.key.key);
+      if (!first_task) {
+        LogUnreadableRow(row, "key is not of its job");
+        continue;
+      }
+      progress.first_task = *first_task;
+      loaded_progress_[progress.job].push_back(std::move(progress));
     } catch (const Error& error) {
       LogUnreadableRow(row, error.what());
     }
@@ -336,7 +343,7 @@
   if (row.deleted) return;
   try {
     JobUpdate update{epoch, protocol::DecodeAcceptedJob(row.value), {}};
-    const auto progress = loaded_progress_.find(row.key.key);
+    const auto progress = loaded_progress_.find(update.job.id);
     if (progress != loaded_progress_.end()) update.progress = progress->second;
     rings_.dispatch.Send(std::move(update));
   } catch (const Error& error) {
--- a/packages/settings/include/jasminespar/settings/job_server_settings.h
+++ b/packages/settings/include/jasminespar/settings/job_server_settings.h
@@ -28,6 +28,7 @@
   configuration::Address metrics_address;    ///< Serves GET /metrics.
   configuration::Address peer_address;   ///< For other instances, UDP and TCP.
   configuration::Address table_address;  ///< The site's table service.
+  std::uint32_t max_row_bytes = 0;  ///< Largest value of a row of the table.
 
   Duration max_lease{};  ///< Longest lease that a worker grants to a run.
   /// How long the state of a finished job can be queried.
--- a/packages/settings/src/job_server_settings.cc
+++ b/packages/settings/src/job_server_settings.cc
@@ -8,6 +8,7 @@
 
 namespace {
 
+constexpr std::int64_t kKiB = 1 << 10;
 constexpr std::int64_t kMiB = 1 << 20;
 constexpr std::int64_t kMs = 1'000;  // In microseconds, the unit of Duration.
 constexpr std::int64_t kS = 1'000 * kMs;
@@ -20,7 +21,7 @@
 /// Short alias for the accessors in the rows.
 using Settings = JobServerSettings;
 
-constexpr std::array<SettingRow<Settings>, 16> kRows{{
+constexpr std::array<SettingRow<Settings>, 17> kRows{{
     {"instance",
      "id",
      kName,
@@ -93,6 +94,14 @@
      {},
      "Address of the site's transactional table.",
      [](Settings& s) -> Address& { return s.table_address; }},
+    {"table",
+     "max_row",
+     kBytes,
+     kDefaulted,
+     "64KiB",
+     {kKiB, 1024 * kKiB},
+     "Largest value of a row that the table accepts.",
+     [](Settings& s) -> std::uint32_t& { return s.max_row_bytes; }},
     {"workers",
      "max_lease",
      kDuration,
--- a/packages/telemetry/include/jasminespar/telemetry/events.h
+++ b/packages/telemetry/include/jasminespar/telemetry/events.h
@@ -173,7 +173,7 @@
     {Event::kCommitRepeated, 8007, "commit_repeated", Severity::kWarning,
      "The outcome of an owner's write is not known yet; it is sent again."},
     {Event::kCommitMalformed, 8008, "commit_malformed", Severity::kError,
-     "The table rejected an owner's write as malformed; the owner steps down."},
+     "The table rejected an owner's write as malformed; smaller ones follow."},
 }};
 static_assert(IsDense(kEvents));
 static_assert(static_cast<std::size_t>(Event::kCommitMalformed) + 1 ==
--- a/tests/jobs/dispatcher_fixture.h
+++ b/tests/jobs/dispatcher_fixture.h
@@ -4,6 +4,7 @@
 #ifndef JASMINESPAR_TESTS_JOBS_DISPATCHER_FIXTURE_H_
 #define JASMINESPAR_TESTS_JOBS_DISPATCHER_FIXTURE_H_
 
+#include <limits>
 #include <map>
 #include <memory>
 #include <optional>
@@ -149,12 +150,18 @@
   /// Milliseconds on the worker's clock; 0: the poll requested no lease.
   std::map<std::string, std::uint64_t> lease_of_last_poll;
   std::vector<JobStatus> statuses;
-  std::map<JobId, JobProgress> progress;
+  std::map<JobId, JobProgress> progress;  ///< Of the first range of each job.
+  std::map<std::pair<JobId, std::uint32_t>, JobProgress> progress_rows;
+  std::size_t largest_row = 0;  ///< Of progress, in bytes.
   std::vector<WorkerName> departed;
+  std::vector<ForgottenJob> forgotten;
   std::vector<WorkerEnrolled> enrolled;
   std::size_t largest_commit = 0;        ///< In rows.
   std::size_t most_tasks_in_commit = 0;  ///< Whose progress it holds.
   bool answer_commits = true;
+  bool resigned = false;
+  /// Size of a commit's progress from which on the table rejects it.
+  std::size_t table_limit = std::numeric_limits<std::size_t>::max();
   bool list_confirmed = true;  ///< The list of workers is followed all along.
   std::uint64_t acknowledged = 0;  ///< Last ended run that a poll acknowledged.
 
@@ -165,6 +172,7 @@
                      [&](SendOrder& order) { HandleOrder(std::move(order)); },
                      [&](Commit& commit) { HandleCommit(std::move(commit)); },
                      [](Decision&) {},
+                     [&](ResignOwnership&) { resigned = true; },
                  },
                  effect);
     }
@@ -201,9 +209,19 @@
   }
 
   void HandleCommit(Commit commit) {
+    std::size_t bytes = 0;
+    for (const JobProgress& each : commit.progress) {
+      bytes += StoredSizeBound(each);
+    }
+    if (bytes > table_limit) {
+      Feed(CommitRejected{commit.commit});
+      return;
+    }
     std::size_t tasks = 0;
     for (const JobProgress& each : commit.progress) {
-      progress[each.job] = each;
+      if (each.first_task == 0) progress[each.job] = each;
+      progress_rows[{each.job, each.first_task}] = each;
+      largest_row = std::max(largest_row, StoredSizeBound(each));
       tasks += each.tasks.size();
     }
     most_tasks_in_commit = std::max(most_tasks_in_commit, tasks);
@@ -214,6 +232,8 @@
                     commit.enrolled.end());
     statuses.insert(statuses.end(), commit.statuses.begin(),
                     commit.statuses.end());
+    forgotten.insert(forgotten.end(), commit.forgotten.begin(),
+                     commit.forgotten.end());
     departed.insert(departed.end(), commit.departed.begin(),
                     commit.departed.end());
     if (answer_commits) {
--- a/tests/protocol/job_records_test.cc
+++ b/tests/protocol/job_records_test.cc
@@ -1,8 +1,10 @@
 // Job rows and relay messages round-trip, and damaged bytes are rejected.
 #include "jasminespar/protocol/job_records.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <random>
+#include <utility>
 
 #include "jasminespar/core/error.h"
 #include "jasminespar/protocol/job_peer_message.h"
@@ -34,6 +36,31 @@
   CHECK(read.tasks == written.tasks);
 }
 
+TEST_CASE("the stored form of progress keeps to its bound") {
+  std::mt19937 random(5);
+  for (int i = 0; i < 300; ++i) {
+    jobs::JobProgress progress;
+    progress.job.value = std::string(random() % 40, 'j');
+    const std::uint32_t steps = 1 + random() % 4;
+    for (std::uint32_t step = 0; step < steps; ++step) {
+      for (std::uint32_t index = 0; index < 200; index += 1 + random() % 90) {
+        jobs::TaskProgress task;
+        task.step = step;
+        task.index = 1000 * (random() % 3) + index;
+        task.done = random() % 2 == 0;
+        if (!task.done) task.failed_runs.resize(random() % 4);
+        if (!task.done) task.checkpoint.resize(random() % 30);
+        progress.tasks.push_back(std::move(task));
+      }
+    }
+    std::sort(progress.tasks.begin(), progress.tasks.end(),
+              [](const jobs::TaskProgress& a, const jobs::TaskProgress& b) {
+                return std::pair(a.step, a.index) < std::pair(b.step, b.index);
+              });
+    CHECK(Encode(progress).size() <= jobs::StoredSizeBound(progress));
+  }
+}
+
 TEST_CASE("an accepted job round-trips") {
   jobs::AcceptedJob written;
   written.id.value = "00000000000000aa";
