Keep the configuration of a job's queue when the queue is dropped

Cause: a new owner took service, priority and attempts of a job from the configuration in force only, and an empty one with one attempt if that lacks the queue. What the earlier owner had seen was in its memory.

Ruled out: lost progress (the ends of the first step are restored), room (all workers idle).

Change: a job is stored with the configuration of its queue at acceptance and its version; the owner records in table `queues` when that changes while the queue has jobs, and deletes the record after the last one. The newest of the two and of the configuration in force counts. Why it works: each of them was a version of the configuration that sent the queue to that service, and a drop leaves the newest in place under every later owner.

Related paths: an owner with jobs but no configuration yet counted attempts against one; an owner that is behind could not start a job accepted under a newer version; workers of a service that only dropped queues used were not polled: closed by the same change. A job stored without the record, by an earlier version of the program, no longer fails while its limit is not known.

--- a/packages/jobs/include/jasminespar/jobs/job.h
+++ b/packages/jobs/include/jasminespar/jobs/job.h
@@ -102,15 +102,6 @@
   bool operator==(const JobSpec&) const = default;
 };
 
-/// A job as stored in the table from its acceptance on.
-struct AcceptedJob {
-  JobId id;
-  QueueId queue;
-  ClientAccountId account;
-  WallTime accepted_at;
-  JobSpec spec;
-};
-
 enum class JobPhase : std::uint8_t {
   kQueued,
   kRunning,
--- a/packages/jobs/include/jasminespar/jobs/messages.h
+++ b/packages/jobs/include/jasminespar/jobs/messages.h
@@ -12,6 +12,7 @@
 
 #include "jasminespar/core/name_table.h"
 #include "jasminespar/core/time.h"
+#include "jasminespar/jobs/accepted_job.h"
 #include "jasminespar/jobs/configuration_snapshot.h"
 #include "jasminespar/jobs/progress.h"
 #include "jasminespar/jobs/worker.h"
@@ -40,6 +41,11 @@
   std::vector<JobProgress> progress;
 };
 
+/// An earlier owner recorded a queue's configuration. Given before the jobs.
+struct QueueRecorded {
+  QueueRecord record;
+};
+
 struct JobCancelled {
   JobId job;
 };
@@ -104,9 +110,9 @@
 };
 
 using DispatcherInput =
-    std::variant<ConfigurationChanged, JobLoaded, JobCancelled, WorkerListed,
-                 WorkerUnlisted, WorkerListConfirmed, WorkerEnrolled,
-                 OrderEnded, CommitDone, CommitRejected>;
+    std::variant<ConfigurationChanged, QueueRecorded, JobLoaded, JobCancelled,
+                 WorkerListed, WorkerUnlisted, WorkerListConfirmed,
+                 WorkerEnrolled, OrderEnded, CommitDone, CommitRejected>;
 
 // ---- Effects ----
 
@@ -166,6 +172,8 @@
   std::vector<JobProgress> progress;
   std::vector<JobStatus> statuses;
   std::vector<ForgottenJob> forgotten;
+  std::vector<QueueRecord> queues;       ///< To store for the next owner.
+  std::vector<QueueId> unused_queues;    ///< Whose records are deleted.
   std::vector<WorkerEnrolled> enrolled;  ///< Workers to store.
   /// Stored workers to delete: no run can be left on them.
   std::vector<WorkerName> departed;
--- a/packages/jobs/src/commits.cc
+++ b/packages/jobs/src/commits.cc
@@ -18,7 +18,8 @@
 
 std::size_t RowsOf(const Commit& commit) {
   return commit.progress.size() + commit.statuses.size() +
-         commit.enrolled.size() + commit.departed.size();
+         commit.enrolled.size() + commit.departed.size() +
+         commit.queues.size() + commit.unused_queues.size();
 }
 
 }  // namespace
@@ -39,6 +40,7 @@
       found->second.enrolled = false;
     }
   }
+  HandleQueuesCommitted(commit);
   for (auto& [name, worker] : workers_) {
     if (worker.durable_to == worker.committing_to) continue;
     worker.durable_to = worker.committing_to;
@@ -65,6 +67,7 @@
     job->status_dirty = true;
     MarkDirty(*job, 0);
   }
+  HandleQueuesRejected(commit);
   std::move(commit.forgotten.begin(), commit.forgotten.end(),
             std::back_inserter(to_forget_));
   // Workers are enrolled and deleted by the next commit, as nothing recorded
@@ -152,6 +155,7 @@
 void Dispatcher::Impl::SendCommit(const Now& now) {
   if (commit_in_flight_) return;
   Commit commit;
+  CommitQueues(commit, now);
   CommitJobs(commit);
   CommitWorkers(commit, now.steady);
   while (!to_forget_.empty() && commit.forgotten.size() < kForgottenPerCommit) {
--- a/packages/jobs/src/dispatcher.cc
+++ b/packages/jobs/src/dispatcher.cc
@@ -49,32 +49,15 @@
   SendCommit(now);
 }
 
-void Dispatcher::Impl::On(ConfigurationChanged change, const Now&) {
-  configuration_ = std::move(change.configuration);
-  services_.clear();
-  for (const QueueConfiguration& queue : configuration_->content().queues) {
-    services_.insert(queue.service);
-  }
-  for (const JobId& id : live_) {
-    JobState& job = jobs_.at(id);
-    const QueueConfiguration* queue = configuration_->FindQueue(job.job.queue);
-    if (queue != nullptr) job.queue = *queue;
-  }
-}
-
 void Dispatcher::Impl::On(JobLoaded found, const Now& now) {
   const JobId id = found.job.id;
   if (jobs_.contains(id)) return;
-  QueueConfiguration queue;
-  if (configuration_ != nullptr) {
-    const QueueConfiguration* known =
-        configuration_->FindQueue(found.job.queue);
-    if (known != nullptr) queue = *known;
-  }
-  JobState& job = jobs_.emplace(id, MakeJobState(std::move(found), queue, now))
-                      .first->second;
+  JobState& job =
+      jobs_.emplace(id, MakeJobState(std::move(found), now)).first->second;
   if (!job.live()) return;
   live_.insert(id);
+  UpdateQueue(job);
+  services_.insert(job.queue.service);
   if (cancelled_early_.erase(id) > 0) {
     EndJob(job, JobPhase::kCancelled, now);
     return;
--- a/packages/jobs/src/dispatcher_impl.h
+++ b/packages/jobs/src/dispatcher_impl.h
@@ -68,7 +68,6 @@
   };
 
   // dispatcher.cc: inputs.
-  void On(ConfigurationChanged change, const Now& now);
   void On(JobLoaded found, const Now& now);
   void On(const JobCancelled& cancelled, const Now& now);
   void On(WorkerListed listed, const Now& now);
@@ -77,6 +76,18 @@
   void On(const WorkerEnrolled& enrolled, const Now& now);
   void On(OrderEnded ended, const Now& now);
 
+  // queue_records.cc: configurations of queues, for jobs whose queue is
+  // dropped.
+  void On(ConfigurationChanged change, const Now& now);
+  void On(QueueRecorded recorded, const Now& now);
+  /// Applies the newest known configuration of its queue to the job. One that
+  /// is stored neither with the job nor in a record will be recorded.
+  void UpdateQueue(JobState& job);
+  /// Adds records to write and to delete.
+  void CommitQueues(Commit& commit, const Now& now);
+  void HandleQueuesCommitted(const Commit& commit);
+  void HandleQueuesRejected(const Commit& commit);
+
   // commits.cc: what is written to the table.
   void On(const CommitDone& done, const Now& now);
   /// Divides what the commit held among smaller ones.
@@ -271,7 +282,11 @@
   Epoch epoch_;
   PredecessorWindows predecessors_;
   std::shared_ptr<const ConfigurationSnapshot> configuration_;
-  std::set<ServiceId> services_;  ///< Of the configuration's queues.
+  /// Of the configuration's queues, and of jobs whose queue was dropped.
+  std::set<ServiceId> services_;
+  std::map<QueueId, QueueRecord> recorded_queues_;  ///< As the table has them.
+  std::map<QueueId, QueueRecord> queues_to_record_;
+  TimePoint next_queue_check_;
   std::map<JobId, JobState> jobs_;
   std::set<JobId> live_;             ///< Jobs that have not ended.
   std::set<JobId> cancelled_early_;  ///< Cancelled before they were loaded.
--- a/packages/jobs/src/job_table.cc
+++ b/packages/jobs/src/job_table.cc
@@ -60,11 +60,12 @@
 
 }  // namespace
 
-JobState MakeJobState(JobLoaded found, const QueueConfiguration& queue,
-                      const Now& now) {
+JobState MakeJobState(JobLoaded found, const Now& now) {
   JobState state;
   state.job = std::move(found.job);
-  state.queue = queue;
+  state.queue = state.job.accepted_under.queue;
+  state.queue.name = state.job.queue;
+  state.queue_revision = state.job.accepted_under.revision;
   state.payload = std::make_shared<const std::string>(state.job.spec.payload);
   state.loaded_at = now.steady;
   state.final_at = now.steady;
--- a/packages/jobs/src/job_table.h
+++ b/packages/jobs/src/job_table.h
@@ -55,7 +55,8 @@
 
 struct JobState {
   AcceptedJob job;
-  QueueConfiguration queue;  ///< Its latest configuration.
+  QueueConfiguration queue;  ///< Its latest known configuration.
+  Revision queue_revision;   ///< Version that `queue` is of.
   std::shared_ptr<const std::string> payload;
   JobPhase phase = JobPhase::kQueued;
   /// Whether an earlier owner may have started tasks that are in no report yet.
@@ -84,9 +85,7 @@
 };
 
 /// @return the state of a job, with its recorded progress restored.
-[[nodiscard]] JobState MakeJobState(JobLoaded found,
-                                    const QueueConfiguration& queue,
-                                    const Now& now);
+[[nodiscard]] JobState MakeJobState(JobLoaded found, const Now& now);
 
 /// @return the task of that name, or null.
 [[nodiscard]] TaskState* FindTask(JobState& job, const TaskName& name);
--- a/packages/jobs/src/run_ends.cc
+++ b/packages/jobs/src/run_ends.cc
@@ -76,6 +76,8 @@
   if (std::find(failed.begin(), failed.end(), end.run) != failed.end()) return;
   failed.push_back(end.run);
   MarkDirty(job, step, spec.gang ? 0 : end.task.index);
+  // Without a configuration of the queue its limit is not known.
+  if (job.queue.service.value.empty()) return;
   if (failed.size() < job.queue.max_attempts) return;
   LogJobDecision(DecisionKind::kJobFailed, job, worker.entry.name.value, now);
   EndJob(job, JobPhase::kFailed, now);
--- a/packages/jobserver/include/jasminespar/jobserver/dispatch_duty.h
+++ b/packages/jobserver/include/jasminespar/jobserver/dispatch_duty.h
@@ -62,6 +62,7 @@
   void On(OwnerAbsent&);
   void On(TableAnswered&);
   void On(JobUpdate& update);
+  void On(QueueRecordFound& found);
   void On(EnrolledWorkerFound& found);
   void On(WorkerUpdate& update);
   void On(WorkerRemoved& removed);
--- a/packages/jobserver/include/jasminespar/jobserver/job_front.h
+++ b/packages/jobserver/include/jasminespar/jobserver/job_front.h
@@ -62,6 +62,7 @@
   struct Call {
     http::Request request;
     jobs::QueueConfiguration queue;
+    Revision revision;  ///< Of the configuration that `queue` is from.
     ClientAccountId account;
     TimePoint arrived;
     TimePoint deadline;  ///< The caller's, less kAnswerMargin.
--- a/packages/jobserver/include/jasminespar/jobserver/messages.h
+++ b/packages/jobserver/include/jasminespar/jobserver/messages.h
@@ -84,7 +84,7 @@
 /// The table served a request; sent at a limited rate.
 struct TableAnswered {};
 
-// The next seven are for the owner of `epoch`; an instance that does not own
+// The next eight are for the owner of `epoch`; an instance that does not own
 // the cell under that epoch ignores them.
 
 /// A job row was read or has changed, with its progress as loaded at a
@@ -94,6 +94,11 @@
   jobs::AcceptedJob job;
   std::vector<jobs::JobProgress> progress;  ///< Recorded by earlier owners.
 };
+/// A queue's configuration that an owner has recorded.
+struct QueueRecordFound {
+  Epoch epoch;
+  jobs::QueueRecorded recorded;
+};
 /// A worker that an owner has enrolled, as the table stores it.
 struct EnrolledWorkerFound {
   Epoch epoch;
@@ -136,10 +141,11 @@
 
 using ToDispatch =
     std::variant<ConfigurationUpdate, CancellationFound, OwnerUpdate,
-                 OwnerAbsent, TableAnswered, JobUpdate, EnrolledWorkerFound,
-                 WorkerUpdate, WorkerRemoved, WorkersConfirmed, LoadCompleted,
-                 OrderResult, WriteCompleted, OwnerHeartbeatReceived,
-                 ReleaseCell, DispatcherSettingsChanged>;
+                 OwnerAbsent, TableAnswered, JobUpdate, QueueRecordFound,
+                 EnrolledWorkerFound, WorkerUpdate, WorkerRemoved,
+                 WorkersConfirmed, LoadCompleted, OrderResult, WriteCompleted,
+                 OwnerHeartbeatReceived, ReleaseCell,
+                 DispatcherSettingsChanged>;
 
 // ---- To the configuration link, from the peer link ----
 
--- a/packages/jobserver/include/jasminespar/jobserver/table_layout.h
+++ b/packages/jobserver/include/jasminespar/jobserver/table_layout.h
@@ -41,6 +41,9 @@
 /// Workers that may have runs of this cell.
 inline constexpr std::string_view kWorkerTable = "workers";
 
+/// Configurations of queues that have changed while they had jobs.
+inline constexpr std::string_view kQueueTable = "queues";
+
 /// Instances that serve jobs, by name, with the address of their peer link.
 inline constexpr std::string_view kMemberTable = "members";
 
@@ -57,6 +60,12 @@
   return CellRowKey(kOwnerTable, kOwnerKey);
 }
 
+/// @return the key of the record of a queue: a hash, as its name may be longer
+///     than a key may be.
+[[nodiscard]] inline site::RowKey QueueRowKey(const jobs::QueueId& queue) {
+  return CellRowKey(kQueueTable, std::to_string(SeededHash(queue.value, 0)));
+}
+
 /// @param first_task position of the first task of the row's range.
 /// @return the key of a row of a job's progress: its id, and for another than
 ///     its first range a separator and the position.
--- a/packages/jobserver/src/dispatch_duty.cc
+++ b/packages/jobserver/src/dispatch_duty.cc
@@ -104,6 +104,10 @@
       jobs::JobLoaded{std::move(update.job), std::move(update.progress)});
 }
 
+void DispatchDuty::On(QueueRecordFound& found) {
+  if (Owns(found.epoch)) HandleInput(std::move(found.recorded));
+}
+
 void DispatchDuty::On(EnrolledWorkerFound& found) {
   if (Owns(found.epoch)) HandleInput(std::move(found.worker));
 }
--- a/packages/jobserver/src/job_front.cc
+++ b/packages/jobserver/src/job_front.cc
@@ -193,6 +193,7 @@
   }
   Call call;
   call.queue = *queue;
+  call.revision = configuration_->version();
   if (account != nullptr) call.account = account->name;
   call.arrived = now;
   call.deadline =
@@ -230,7 +231,8 @@
       call.queue.name,
       call.account,
       {static_cast<std::uint64_t>(runtime::WallMilliseconds())},
-      std::move(std::get<jobs::JobSpec>(decoded))};
+      std::move(std::get<jobs::JobSpec>(decoded)),
+      {call.revision, call.queue}};
   const jobs::JobStatus status{id, job.queue, jobs::JobPhase::kQueued,
                                job.accepted_at, job.spec.occurrences > 0};
   site::Transaction transaction;
--- a/packages/jobserver/src/owner_writes.cc
+++ b/packages/jobserver/src/owner_writes.cc
@@ -81,6 +81,13 @@
                     protocol::Encode(status),
                     {}});
   }
+  for (const jobs::QueueRecord& record : commit.queues) {
+    rows.push_back(
+        {QueueRowKey(record.queue.name), protocol::Encode(record), {}});
+  }
+  for (const jobs::QueueId& queue : commit.unused_queues) {
+    write.transaction.deletes.push_back(QueueRowKey(queue));
+  }
   for (const jobs::WorkerEnrolled& worker : commit.enrolled) {
     rows.push_back({CellRowKey(kWorkerTable, worker.name.value),
                     protocol::Encode(worker),
--- a/packages/jobserver/src/store_watches.cc
+++ b/packages/jobserver/src/store_watches.cc
@@ -203,7 +203,8 @@
 asio::awaitable<void> StoreLink::Load(Epoch epoch) {
   const auto active = [this, epoch] { return owned_epoch_ == epoch; };
   std::map<std::string, std::vector<site::Row>> tables;
-  for (const std::string_view table : {kProgressTable, kWorkerTable}) {
+  for (const std::string_view table :
+       {kProgressTable, kQueueTable, kWorkerTable}) {
     while (active() && !tables.contains(std::string(table))) {
       std::vector<std::string> partitions(1, std::string(kCellPartition));
       std::optional<site::RowPage> page =
@@ -231,6 +232,14 @@
       LogUnreadableRow(row, error.what());
     }
   }
+  for (const site::Row& row : tables[std::string(kQueueTable)]) {
+    try {
+      rings_.dispatch.Send(
+          QueueRecordFound{epoch, {protocol::DecodeQueueRecord(row.value)}});
+    } catch (const Error& error) {
+      LogUnreadableRow(row, error.what());
+    }
+  }
   for (const site::Row& row : tables[std::string(kWorkerTable)]) {
     try {
       rings_.dispatch.Send(EnrolledWorkerFound{
--- a/packages/protocol/include/jasminespar/protocol/job_records.h
+++ b/packages/protocol/include/jasminespar/protocol/job_records.h
@@ -18,6 +18,7 @@
 [[nodiscard]] std::string Encode(const jobs::JobStatus& status);
 [[nodiscard]] std::string Encode(const jobs::OwnerRow& row);
 [[nodiscard]] std::string Encode(const jobs::WorkerEnrolled& worker);
+[[nodiscard]] std::string Encode(const jobs::QueueRecord& record);
 
 // Each throws Error kMalformedRequest/kNotRun when the bytes are not such a
 // row.
@@ -26,6 +27,7 @@
 [[nodiscard]] jobs::JobStatus DecodeJobStatus(std::string_view bytes);
 [[nodiscard]] jobs::OwnerRow DecodeOwnerRow(std::string_view bytes);
 [[nodiscard]] jobs::WorkerEnrolled DecodeWorkerEnrolled(std::string_view bytes);
+[[nodiscard]] jobs::QueueRecord DecodeQueueRecord(std::string_view bytes);
 
 }  // namespace jasminespar::protocol
 
--- a/packages/protocol/src/job_peer_message.cc
+++ b/packages/protocol/src/job_peer_message.cc
@@ -3,6 +3,7 @@
 #include <cereal/types/set.hpp>
 
 #include "encode_value.h"
+#include "queue_serialization.h"
 #include "serialization.h"
 
 namespace jasminespar {
@@ -13,12 +14,6 @@
   archive(route.name, route.host, route.prefix);
 }
 template <typename Archive>
-void serialize(Archive& archive, QueueConfiguration& queue) {
-  archive(queue.name, queue.host, queue.prefix, queue.service, queue.is_public,
-          queue.priority, queue.max_attempts, queue.slack_factor,
-          queue.target_runtime);
-}
-template <typename Archive>
 void serialize(Archive& archive, AccountConfiguration& account) {
   archive(account.name, account.keys, account.guaranteed_accelerators);
 }
--- a/packages/protocol/src/job_records.cc
+++ b/packages/protocol/src/job_records.cc
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "encode_value.h"
+#include "queue_serialization.h"
 #include "serialization.h"
 
 namespace jasminespar {
@@ -32,6 +33,7 @@
 template <typename Archive>
 void serialize(Archive& archive, AcceptedJob& job) {
   archive(job.id, job.queue, job.account, job.accepted_at, job.spec);
+  protocol::SerializeAppended(archive, job.accepted_under);
 }
 template <typename Archive>
 void serialize(Archive& archive, JobStatus& status) {
@@ -152,6 +154,13 @@
   return DecodeValue<jobs::JobStatus>(bytes);
 }
 
+std::string Encode(const jobs::QueueRecord& record) {
+  return EncodeValue(record);
+}
+jobs::QueueRecord DecodeQueueRecord(std::string_view bytes) {
+  return DecodeValue<jobs::QueueRecord>(bytes);
+}
+
 std::string Encode(const jobs::OwnerRow& row) { return EncodeValue(row); }
 jobs::OwnerRow DecodeOwnerRow(std::string_view bytes) {
   return DecodeValue<jobs::OwnerRow>(bytes);
--- a/tests/jobs/dispatcher_fixture.h
+++ b/tests/jobs/dispatcher_fixture.h
@@ -155,6 +155,7 @@
   std::size_t largest_row = 0;  ///< Of progress, in bytes.
   std::vector<WorkerName> departed;
   std::vector<ForgottenJob> forgotten;
+  std::map<QueueId, QueueRecord> queue_records;  ///< As the table has them.
   std::vector<WorkerEnrolled> enrolled;
   std::size_t largest_commit = 0;        ///< In rows.
   std::size_t most_tasks_in_commit = 0;  ///< Whose progress it holds.
@@ -232,6 +233,10 @@
                     commit.enrolled.end());
     statuses.insert(statuses.end(), commit.statuses.begin(),
                     commit.statuses.end());
+    for (const QueueRecord& each : commit.queues) {
+      queue_records[each.queue.name] = each;
+    }
+    for (const QueueId& each : commit.unused_queues) queue_records.erase(each);
     forgotten.insert(forgotten.end(), commit.forgotten.begin(),
                      commit.forgotten.end());
     departed.insert(departed.end(), commit.departed.begin(),
--- a/tests/protocol/job_records_test.cc
+++ b/tests/protocol/job_records_test.cc
@@ -74,9 +74,23 @@
   step.preferred_rack = "r1";
   written.spec.steps = {step, step};
   written.spec.steps[1].after = {0};
-  const jobs::AcceptedJob read = DecodeAcceptedJob(Encode(written));
+  const std::string without_queue = Encode(written);
+  written.accepted_under.revision.value = 7;
+  written.accepted_under.queue.service.value = "matching";
+  written.accepted_under.queue.max_attempts = 4;
+  const std::string encoded = Encode(written);
+  const jobs::AcceptedJob read = DecodeAcceptedJob(encoded);
   CHECK(read.id == written.id);
   CHECK(read.spec == written.spec);
+  CHECK(read.accepted_under == written.accepted_under);
+  CHECK(DecodeQueueRecord(Encode(written.accepted_under)) ==
+        written.accepted_under);
+  // As it was stored before it had its queue's configuration.
+  const std::size_t size =
+      without_queue.size() - Encode(jobs::QueueRecord{}).size() + 1;
+  const jobs::AcceptedJob old = DecodeAcceptedJob(encoded.substr(0, size));
+  CHECK(old.spec == written.spec);
+  CHECK(old.accepted_under == jobs::QueueRecord{});
 }
 
 TEST_CASE("an owner row is read with and without its windows") {
