Acknowledge no end of a rejected commit before its parts are durable

An owner killed then would have left ends that nobody has, and their tasks would have run again.

Change: a rejected commit takes back what its success would have acknowledged. [table] max_row is at least 16 KiB, so that the row of a job with as many tasks as are accepted (100,000) has room for the bits of the completed ones.

--- a/packages/jobs/include/jasminespar/jobs/accepted_job.h
+++ b/packages/jobs/include/jasminespar/jobs/accepted_job.h
@@ -24,8 +24,8 @@
   ClientAccountId account;
   WallTime accepted_at;
   JobSpec spec;
-  /// Of its queue at its acceptance; a job stored by an earlier version of this
-  /// program has none.
+  /// Configuration of its queue at its acceptance; a job that an earlier
+  /// version of this program stored has none.
   QueueRecord accepted_under;
 };
 
--- a/packages/jobs/src/commits.cc
+++ b/packages/jobs/src/commits.cc
@@ -55,6 +55,10 @@
     effects_.emplace_back(ResignOwnership{});
     return;
   }
+  // What was in the commit is durable only after several others.
+  for (auto& [name, worker] : workers_) {
+    worker.committing_to = worker.durable_to;
+  }
   max_row_bytes_ = std::max(kMinRowBytes, max_row_bytes_ / 2);
   max_commit_bytes_ = max_row_bytes_;
   for (const JobProgress& progress : commit.progress) {
@@ -96,7 +100,7 @@
     progress = ProgressOf(job, range);
   }
   if (fits()) return progress;
-  // A single task: only its checkpoint can be this large.
+  // A single task: its checkpoint makes it this large.
   for (TaskProgress& task : progress.tasks) {
     LogRunDecision(DecisionKind::kCheckpointNotStored, DecisionCause::kNone,
                    {job.job.id, task.occurrence, task.step, task.index}, {}, {},
--- a/packages/settings/src/job_server_settings.cc
+++ b/packages/settings/src/job_server_settings.cc
@@ -99,7 +99,7 @@
      kBytes,
      kDefaulted,
      "64KiB",
-     {kKiB, 1024 * kKiB},
+     {16 * kKiB, 1024 * kKiB},
      "Largest value of a row that the table accepts.",
      [](Settings& s) -> std::uint32_t& { return s.max_row_bytes; }},
     {"workers",
--- a/tests/jobs/commits_test.cc
+++ b/tests/jobs/commits_test.cc
@@ -172,7 +172,15 @@
   fixture.FinishLoading();
   SECTION("it commits less at a time") {
     fixture.table_limit = 5'000;
-    fixture.Advance(10s);
+    for (int i = 0; i < 200; ++i) {
+      fixture.Advance(50ms);
+      std::size_t durable = 0;
+      for (const auto& [name, row] : fixture.progress_rows) {
+        durable += row.tasks.size();
+      }
+      // No end is acknowledged before it is durable.
+      REQUIRE(fixture.acknowledged <= durable);
+    }
     CHECK_FALSE(fixture.resigned);
     CHECK(fixture.acknowledged == kTasks);
     fixture.Feed(JobCancelled{{"wide"}});
