--- a/packages/configuration/include/jasminespar/configuration/value_text.h
+++ b/packages/configuration/include/jasminespar/configuration/value_text.h
@@ -10,6 +10,7 @@
 #include <string_view>
 
 #include "jasminespar/core/name_table.h"
+#include "jasminespar/core/switch.h"
 
 namespace jasminespar::configuration {
 
@@ -18,17 +19,19 @@
   kHost,
   kPath,
   kAddress,
+  kSwitch,
   kPort,
   kCount,
   kBytes,
   kDuration,
 };
 
-inline constexpr NameTable<Unit, 8> kUnitNames{{
+inline constexpr NameTable<Unit, 9> kUnitNames{{
     {Unit::kName, "name", "1 to 64 letters, digits, '.', '_' or '-'."},
     {Unit::kHost, "IP number", "IPv4, such as 127.0.0.1."},
     {Unit::kPath, "path", "A folder that exists."},
     {Unit::kAddress, "address", "IPv4 and port, such as 127.0.0.1:8001."},
+    {Unit::kSwitch, "switch", "on or off."},
     {Unit::kPort, "port", "TCP and UDP port."},
     {Unit::kCount, "count", "A whole number."},
     {Unit::kBytes, "bytes", "A whole number, with B, KiB or MiB."},
--- a/packages/configuration/src/value_text.cc
+++ b/packages/configuration/src/value_text.cc
@@ -137,6 +137,8 @@
       return IsIpv4(text);
     case Unit::kAddress:
       return IsAddress(text);
+    case Unit::kSwitch:
+      return ParseName(kSwitchNames, text).has_value();
     default:
       return !text.empty();
   }
--- a/packages/jobs/include/jasminespar/jobs/dispatcher.h
+++ b/packages/jobs/include/jasminespar/jobs/dispatcher.h
@@ -9,6 +9,7 @@
 #include <memory>
 #include <vector>
 
+#include "jasminespar/core/switch.h"
 #include "jasminespar/jobs/messages.h"
 
 namespace jasminespar::jobs {
@@ -22,6 +23,12 @@
   Duration stop_limit = 900ms;  ///< Longest time a worker takes to stop a run.
   Duration reclaim_within = 3400ms;  ///< Bound on the start of guaranteed work.
   std::size_t max_row_bytes = 64U << 10;  ///< Of a row of the table.
+  /// Nothing starts in a data centre that the operator empties from this time
+  /// on; zero: the operator empties none.
+  Duration evacuate_within{};
+  Switch worker_pace = Switch::kOn;  ///< Use how fast workers run tasks.
+  Switch caller_cost = Switch::kOn;  ///< Weigh what delays cost callers.
+  Switch departures = Switch::kOn;   ///< Use the time left of leaving workers.
 };
 
 /// How long earlier owners of the cell, which may not know of its present one,
--- a/packages/jobserver/src/job_server.cc
+++ b/packages/jobserver/src/job_server.cc
@@ -65,6 +65,10 @@
   dispatcher.stop_limit = settings.stop_limit;
   dispatcher.reclaim_within = settings.reclaim_within;
   dispatcher.max_row_bytes = settings.max_row_bytes;
+  dispatcher.evacuate_within = settings.evacuate_within;
+  dispatcher.worker_pace = settings.worker_pace;
+  dispatcher.caller_cost = settings.caller_cost;
+  dispatcher.departures = settings.departures;
   return dispatcher;
 }
 
--- a/packages/settings/include/jasminespar/settings/job_server_settings.h
+++ b/packages/settings/include/jasminespar/settings/job_server_settings.h
@@ -11,6 +11,7 @@
 
 #include "jasminespar/configuration/topology.h"
 #include "jasminespar/core/ids.h"
+#include "jasminespar/core/switch.h"
 #include "jasminespar/core/time.h"
 #include "jasminespar/settings/daemon_settings.h"
 
@@ -38,6 +39,14 @@
   Duration stop_limit{};  ///< Longest time that a run takes to stop.
   /// Longest wait of a job under its account's guarantee before it starts.
   Duration reclaim_within{};
+  /// Time after which nothing may start in a data centre that the operator
+  /// empties; zero: the operator empties none.
+  Duration evacuate_within{};
+
+  Switch worker_pace = Switch::kOn;  ///< Decisions use the pace of workers.
+  Switch caller_cost = Switch::kOn;  ///< They weigh what delays cost callers.
+  Switch departures = Switch::kOn;   ///< They use notices of departure.
+
   /// Time between the request to stop and the kill of the process.
   Duration shutdown_grace{};
 
--- a/packages/settings/include/jasminespar/settings/settings_table.h
+++ b/packages/settings/include/jasminespar/settings/settings_table.h
@@ -38,7 +38,7 @@
     std::variant<FieldOf<Settings, InstanceId>, FieldOf<Settings, DataCentreId>,
                  FieldOf<Settings, std::string>,
                  FieldOf<Settings, configuration::Address>,
-                 FieldOf<Settings, std::uint16_t>,
+                 FieldOf<Settings, Switch>, FieldOf<Settings, std::uint16_t>,
                  FieldOf<Settings, std::uint32_t>, FieldOf<Settings, Duration>>;
 
 /// One key of the INI file.
--- a/packages/settings/src/row_parser.h
+++ b/packages/settings/src/row_parser.h
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "jasminespar/core/overloaded.h"
+#include "jasminespar/core/switch.h"
 #include "jasminespar/settings/ini.h"
 #include "jasminespar/settings/settings_table.h"
 
@@ -45,6 +46,9 @@
           [&](FieldOf<Settings, configuration::Address> field) {
             field(settings) = ParseAddress(text);
           },
+          [&](FieldOf<Settings, Switch> field) {
+            field(settings) = ParseName(kSwitchNames, text).value();
+          },
           [&](FieldOf<Settings, std::uint16_t> field) {
             field(settings) = static_cast<std::uint16_t>(number());
           },
@@ -76,6 +80,9 @@
           [&](FieldOf<Settings, configuration::Address> field) {
             return FormatAddress(field(settings));
           },
+          [&](FieldOf<Settings, Switch> field) {
+            return std::string(RowOf(kSwitchNames, field(settings)).name);
+          },
           [&](FieldOf<Settings, std::uint16_t> field) {
             return format(field(settings));
           },
