Wait for a preferred rack no longer than a task may stay unstarted

Workers that do not answer counted as part of a rack that can still take the step. Change: at most 2 s while under half of the service's capacity is in use and others have room for the step twice over; silent workers do not count.

--- a/packages/jobs/src/starts.cc
+++ b/packages/jobs/src/starts.cc
@@ -25,6 +25,10 @@
 /// A step waits at most this long for its rack, however long its tasks run.
 constexpr Duration kMaxRackWait = 4s;
 
+/// The same while less than half of the service's capacity is in use and other
+/// racks have room for the step twice over.
+constexpr Duration kMaxRackWaitWithRoom = 2s;
+
 /// An occurrence starts this long after it is due on the local clock, because
 /// the clocks of instances differ slightly.
 constexpr std::uint64_t kDueMarginMs = 20;
@@ -82,9 +86,15 @@
   if (spec.preferred_rack.empty() && !spec.prefers_one_rack) return true;
   // Tasks that each rack could run if it were empty.
   std::map<std::string, std::uint32_t> racks;
+  Resources capacity;
+  Resources used;
+  std::uint32_t fitting_now = 0;
   for (const auto& [name, worker] : workers_) {
-    if (!worker.listed || worker.leaving) continue;
+    if (!worker.listed || worker.leaving || worker.silent) continue;
     if (!IsSuited(worker, spec, job.queue.service)) continue;
+    capacity += worker.entry.capacity;
+    used += worker.used;
+    fitting_now += CountFitting(NeedOf(spec), worker.room(), 2 * tasks);
     racks[worker.entry.rack] +=
         CountFitting(NeedOf(spec), worker.entry.capacity, tasks);
   }
@@ -101,7 +111,10 @@
       since = std::min(since, task.waiting_since);
     }
   }
-  return now.steady - since > std::min(kMaxRackWait, spec.estimate);
+  const bool much_room =
+      Fits(used + used, capacity) && fitting_now >= 2 * tasks;
+  const Duration longest = much_room ? kMaxRackWaitWithRoom : kMaxRackWait;
+  return now.steady - since > std::min(longest, spec.estimate);
 }
 
 void Dispatcher::Impl::TryStartStep(const WaitingStep& waiting,
