Read on at once after a full page of a watch, which confirms nothing

Cause: the store's feed returns at most 500 rows and does not say that it was cut. Change: the codec marks a full page of a feed; after one the watch reads on without a pause and confirms nothing. The table in memory of the stand-ins has the same pages. Ruled out: a longer pause or a smaller list age, which move the size at which it fails.

--- a/packages/jobserver/src/store_watches.cc
+++ b/packages/jobserver/src/store_watches.cc
@@ -11,6 +11,7 @@
 #include <iterator>
 #include <map>
 #include <memory>
+#include <optional>
 #include <utility>
 
 #include "jasminespar/core/error.h"
@@ -21,6 +22,7 @@
 #include "jasminespar/runtime/clock.h"
 #include "jasminespar/runtime/sleep.h"
 #include "jasminespar/runtime/spawn.h"
+#include "jasminespar/site/watch_progress.h"
 
 namespace jasminespar::jobserver {
 
@@ -142,9 +144,10 @@
                     row.key.partition) != watch.partitions.end();
       if (watched) watch.on_row(row);
     }
-    // An answer without rows shows that nothing changed during the whole wait.
-    const Duration waited = page->rows.empty() ? watch.timeout : Duration{};
-    if (watch.on_confirmed) watch.on_confirmed(sent_at + waited);
+    const std::optional<TimePoint> as_of =
+        site::CurrentAsOf(*page, sent_at, watch.timeout);
+    if (!as_of) continue;  // The watch is behind; it reads on at once.
+    if (watch.on_confirmed) watch.on_confirmed(*as_of);
     if (!page->rows.empty()) {
       co_await runtime::Sleep(duty_.context(), watch.interval());
     }
--- a/packages/site/include/jasminespar/site/table.h
+++ b/packages/site/include/jasminespar/site/table.h
@@ -75,8 +75,12 @@
 };
 struct RowPage {
   std::vector<Row> rows;
-  bool has_more = false;  ///< The next page starts after the last row's key.
-  RowVersion version;     ///< Newest version in the table service.
+  /// Of a range: the next page starts after the last row's key. Of a watch:
+  /// the page is full, so that newer changes may exist.
+  bool has_more = false;
+  /// Newest version in the table service; of a full page of a watch, that of
+  /// its last row.
+  RowVersion version;
 };
 /// Request for the changes of a table after a version, in order.
 struct Watch {
--- a/packages/standins/src/watched_table.cc
+++ b/packages/standins/src/watched_table.cc
@@ -82,7 +82,16 @@
   for (const site::Row& row : history_) {
     const bool reported =
         row.key.table == watch.table && row.version > watch.after;
-    if (reported) page.rows.push_back(row);
+    if (!reported) continue;
+    // The changes of one version are never divided.
+    const bool full = page.rows.size() >= kPageRows &&
+                      row.version != page.rows.back().version;
+    if (full) {
+      page.has_more = true;
+      page.version = page.rows.back().version;
+      break;
+    }
+    page.rows.push_back(row);
   }
   if (page.rows.empty()) return std::nullopt;
   return page;
--- a/tests/fleet/codec_test.cc
+++ b/tests/fleet/codec_test.cc
@@ -119,6 +119,23 @@
   }
 }
 
+TEST_CASE("a feed with as many rows as it can hold may have been cut") {
+  const auto page_of = [](std::size_t rows) {
+    std::string text;
+    for (std::size_t i = 0; i < rows; ++i) {
+      text += (i == 0 ? "" : ",") +
+              std::string(R"({"table":"servers","part":"","key":"w","ver":7})");
+    }
+    http::Response response;
+    response.body = R"({"ver":7,"rows":[)" + text + "]}";
+    return std::get<site::RowPage>(
+        kCodec.table.decode(site::Watch{}, response));
+  };
+  CHECK_FALSE(page_of(0).has_more);
+  CHECK_FALSE(page_of(499).has_more);
+  CHECK(page_of(500).has_more);
+}
+
 TEST_CASE("only requests that certainly had no effect count as refused") {
   const site::TableRequest request = site::Transaction{};
   CHECK(std::holds_alternative<site::Refused>(
