Start nothing in a data centre that the operator empties

Cause: the scheduler knew nothing of the operator's rows that empty a data centre, so it went on starting tasks there. Change: input EvacuationsRead of the dispatcher: all emptied data centres, as of a time. Their workers take no part in starts, plans, preemption, idle room and the choice of racks; starts not yet confirmed there are stopped with their gangs. While the last reading is older than half of evacuate_within, or not made yet, nothing starts anywhere, and a start that waits longer is not sent. Workers that are still slow after their start are used last. Without the setting all of it is off. Module evacuations.{h,cc}, one condition each in the other files. The fixture of the tests takes settings and keeps the decisions; no test was changed. Ruled out: a rule of its own for each kind of start; a flag beside that of a leaving worker covers all of them.

--- a/packages/jobs/include/jasminespar/jobs/messages.h
+++ b/packages/jobs/include/jasminespar/jobs/messages.h
@@ -14,6 +14,7 @@
 #include "jasminespar/core/time.h"
 #include "jasminespar/jobs/accepted_job.h"
 #include "jasminespar/jobs/configuration_snapshot.h"
+#include "jasminespar/jobs/evacuation.h"
 #include "jasminespar/jobs/progress.h"
 #include "jasminespar/jobs/worker.h"
 
@@ -112,7 +113,8 @@
 using DispatcherInput =
     std::variant<ConfigurationChanged, QueueRecorded, JobLoaded, JobCancelled,
                  WorkerListed, WorkerUnlisted, WorkerListConfirmed,
-                 WorkerEnrolled, OrderEnded, CommitDone, CommitRejected>;
+                 WorkerEnrolled, EvacuationsRead, OrderEnded, CommitDone,
+                 CommitRejected>;
 
 // ---- Effects ----
 
@@ -200,9 +202,11 @@
   kReportPartial,
   kCommitSplit,
   kCheckpointNotStored,
+  kDataCentreEmptied,
+  kDataCentreInUse,
 };
 
-inline constexpr NameTable<DecisionKind, 19> kDecisionNames{{
+inline constexpr NameTable<DecisionKind, 21> kDecisionNames{{
     {DecisionKind::kStart, "start", "A start was ordered."},
     {DecisionKind::kStop, "stop", "A stop was ordered."},
     {DecisionKind::kRunEnded, "run_ended", "A worker reported an ended run."},
@@ -231,6 +235,10 @@
      "The table rejected a commit, so smaller ones follow."},
     {DecisionKind::kCheckpointNotStored, "checkpoint_not_stored",
      "A checkpoint does not fit into a row; the next owner lacks it."},
+    {DecisionKind::kDataCentreEmptied, "data_centre_emptied",
+     "The operator empties a data centre; nothing starts there."},
+    {DecisionKind::kDataCentreInUse, "data_centre_in_use",
+     "The operator has taken an emptied data centre back."},
 }};
 static_assert(IsDense(kDecisionNames));
 
@@ -248,9 +256,10 @@
   kUnanswered,
   kRefused,
   kExpired,
+  kEvacuated,
 };
 
-inline constexpr NameTable<DecisionCause, 12> kDecisionCauseNames{{
+inline constexpr NameTable<DecisionCause, 13> kDecisionCauseNames{{
     {DecisionCause::kNone, "none", "No further cause."},
     {DecisionCause::kRoomFound, "room_found", "A worker has capacity for it."},
     {DecisionCause::kPreempted, "preempted", "A guarantee needs the capacity."},
@@ -267,6 +276,8 @@
     {DecisionCause::kRefused, "refused", "The worker refused the order."},
     {DecisionCause::kExpired, "expired",
      "The order waited too long in this instance and was not sent."},
+    {DecisionCause::kEvacuated, "evacuated",
+     "The operator empties the data centre of the worker."},
 }};
 static_assert(IsDense(kDecisionCauseNames));
 
--- a/packages/jobs/include/jasminespar/jobs/worker.h
+++ b/packages/jobs/include/jasminespar/jobs/worker.h
@@ -34,6 +34,7 @@
   Resources capacity;
   std::vector<std::string> labels;
   std::string rack;
+  Duration cold_for{};  ///< It runs slower for this long, after its start.
 };
 
 /// A run that a worker reports as active.
--- a/packages/jobs/src/dispatcher.cc
+++ b/packages/jobs/src/dispatcher.cc
@@ -43,7 +43,10 @@
     StopIncompleteGangs(now);
     const bool list_current =
         now.steady - worker_list_as_of_ < kMaxWorkerListAge;
-    if (authority == Authority::kFull && list_current) StartWaitingTasks(now);
+    const bool known = now.steady < evacuations_.KnownUntil();
+    if (authority == Authority::kFull && list_current && known) {
+      StartWaitingTasks(now);
+    }
   }
   ForgetOldJobs(now);
   SendCommit(now);
@@ -105,6 +108,10 @@
   if (known.value != 0) worker.entry.incarnation = known;
   worker.listed = true;
   worker.leaving = leaving;
+  worker.emptied = evacuations_.IsEmptied(worker.entry.data_centre);
+  if (evacuations_.in_use()) {
+    worker.cold_until = now.steady + worker.entry.cold_for;
+  }
 }
 
 void Dispatcher::Impl::On(const WorkerUnlisted& unlisted, const Now& now) {
--- a/packages/jobs/src/dispatcher_impl.h
+++ b/packages/jobs/src/dispatcher_impl.h
@@ -17,6 +17,7 @@
 #include <utility>
 #include <vector>
 
+#include "evacuations.h"
 #include "jasminespar/jobs/dispatcher.h"
 #include "job_table.h"
 #include "placement.h"
@@ -42,6 +43,7 @@
       : settings_(settings),
         epoch_(epoch),
         predecessors_(predecessors),
+        evacuations_(settings.evacuate_within),
         max_row_bytes_(std::min(settings.max_row_bytes, kMaxCommitBytes)) {}
 
   void FinishLoading(TimePoint now);
@@ -76,6 +78,11 @@
   void On(const WorkerEnrolled& enrolled, const Now& now);
   void On(OrderEnded ended, const Now& now);
 
+  // evacuations.cc: data centres that the operator empties.
+  void On(const EvacuationsRead& read, const Now& now);
+  /// Stops what the worker has not confirmed to run yet, and its gangs.
+  void StopUnconfirmedStarts(WorkerState& worker, const Now& now);
+
   // queue_records.cc: configurations of queues, for jobs whose queue is
   // dropped.
   void On(ConfigurationChanged change, const Now& now);
@@ -281,6 +288,7 @@
   DispatcherSettings settings_;
   Epoch epoch_;
   PredecessorWindows predecessors_;
+  Evacuations evacuations_;
   std::shared_ptr<const ConfigurationSnapshot> configuration_;
   /// Of the configuration's queues, and of jobs whose queue was dropped.
   std::set<ServiceId> services_;
--- a/packages/jobs/src/orders.cc
+++ b/packages/jobs/src/orders.cc
@@ -35,9 +35,11 @@
         std::max(worker.lease_expires_at,
                  LeaseExpiryBound(settings_.max_lease, now.steady));
   }
-  const TimePoint send_by = pending.kind == PendingOrder::Kind::kStart
-                                ? worker_list_as_of_ + kMaxWorkerListAge
-                                : TimePoint::max();
+  const TimePoint send_by =
+      pending.kind == PendingOrder::Kind::kStart
+          ? std::min(worker_list_as_of_ + kMaxWorkerListAge,
+                     evacuations_.KnownUntil())
+          : TimePoint::max();
   orders_.emplace(number, std::move(pending));
   effects_.emplace_back(SendOrder{number, worker.entry.name, worker.entry.host,
                                   worker.entry.port, until, send_by,
@@ -185,11 +187,13 @@
       [](const auto& entry) { return entry.second.HasOpenOrder(); });
   for (auto& [name, placed] : worker.placed_runs) {
     if (placed.in_flight || now.steady < placed.retry_at) continue;
-    const bool gets_starts = worker.listed && !worker.leaving;
+    const bool gets_starts =
+        worker.listed && !worker.leaving && !worker.emptied;
     if (placed.phase == PlacedRunPhase::kStarting && gets_starts) {
       SendStart(worker, name, placed, now);
     } else if (placed.phase == PlacedRunPhase::kStarting) {
-      // It began to leave since; the first start may still be carried out.
+      // It began to leave or was emptied since; the first start may still be
+      // carried out.
       BeginStop(worker, name, placed, DecisionCause::kUnanswered, now);
     } else if (placed.phase == PlacedRunPhase::kStopping &&
                !placed.stop_confirmed_at) {
--- a/packages/jobs/src/placement.cc
+++ b/packages/jobs/src/placement.cc
@@ -96,14 +96,15 @@
 }
 
 std::vector<Candidate> CandidatesFor(std::span<WorkerState* const> usable,
-                                     const JobState& job,
-                                     const StepState& step) {
+                                     const JobState& job, const StepState& step,
+                                     TimePoint now) {
   const StepSpec& spec = job.SpecOf(step);
   std::vector<Candidate> candidates;
   for (WorkerState* worker : usable) {
     if (!IsSuited(*worker, spec, job.queue.service)) continue;
     Candidate candidate{worker, worker->room(),
-                        std::numeric_limits<std::uint32_t>::max()};
+                        std::numeric_limits<std::uint32_t>::max(),
+                        now < worker->cold_until};
     if (spec.max_tasks_per_worker > 0) {
       const std::uint32_t present = TasksOfStepOn(*worker, job, step);
       candidate.limit = spec.max_tasks_per_worker -
@@ -144,6 +145,17 @@
   return FillFullestFirst(std::move(candidates), need, request.tasks);
 }
 
+std::vector<WorkerState*> PlaceGangWarmFirst(std::vector<Candidate> candidates,
+                                             const PlacementRequest& request) {
+  std::vector<Candidate> warm = candidates;
+  std::erase_if(warm, [](const Candidate& each) { return each.cold; });
+  if (warm.size() < candidates.size()) {
+    std::vector<WorkerState*> chosen = PlaceGang(std::move(warm), request);
+    if (!chosen.empty()) return chosen;
+  }
+  return PlaceGang(std::move(candidates), request);
+}
+
 WorkerState* PlaceTask(std::span<Candidate> candidates,
                        const PlacementRequest& request) {
   const StepSpec& spec = *request.spec;
@@ -156,8 +168,9 @@
                       candidate.worker->entry.rack == spec.preferred_rack;
     if (!home && !request.other_racks_allowed) continue;
     const bool avoided = candidate.worker->entry.name == request.avoid;
-    const std::pair<int, std::int64_t> key{(avoided ? 2 : 0) + (home ? 0 : 1),
-                                           WeightOf(candidate.room)};
+    const int rank =
+        (avoided ? 4 : 0) + (candidate.cold ? 2 : 0) + (home ? 0 : 1);
+    const std::pair<int, std::int64_t> key{rank, WeightOf(candidate.room)};
     if (best != nullptr && best_key <= key) continue;
     best = &candidate;
     best_key = key;
--- a/packages/jobs/src/placement.h
+++ b/packages/jobs/src/placement.h
@@ -22,6 +22,7 @@
   WorkerState* worker = nullptr;
   Resources room;           ///< Still available.
   std::uint32_t limit = 0;  ///< Most further tasks of the step.
+  bool cold = false;        ///< Used only if the others do not suffice.
 };
 
 struct PlacementRequest {
@@ -50,13 +51,17 @@
 ///     and how many more tasks `max_tasks_per_worker` allows there.
 [[nodiscard]] std::vector<Candidate> CandidatesFor(
     std::span<WorkerState* const> usable, const JobState& job,
-    const StepState& step);
+    const StepState& step, TimePoint now);
 
-/// Places all tasks of a gang, or none.
+/// Places all tasks of a gang, or none, on cold workers as on others.
 /// @return a worker for each task; empty if they do not all fit now.
 [[nodiscard]] std::vector<WorkerState*> PlaceGang(
     std::vector<Candidate> candidates, const PlacementRequest& request);
 
+/// The same, on cold workers only if the others do not suffice.
+[[nodiscard]] std::vector<WorkerState*> PlaceGangWarmFirst(
+    std::vector<Candidate> candidates, const PlacementRequest& request);
+
 /// Places one task on the worker with the least room that suffices, and deducts
 /// the task from that candidate.
 /// @return null if no worker has room.
--- a/packages/jobs/src/reclaim.cc
+++ b/packages/jobs/src/reclaim.cc
@@ -150,7 +150,8 @@
       static_cast<std::uint32_t>(step.tasks.size() - step.done - step.active);
   std::map<std::string, std::vector<Offer>> racks;
   std::vector<Offer> all;
-  for (const Candidate& candidate : CandidatesFor(usable_, job, step)) {
+  for (const Candidate& candidate :
+       CandidatesFor(usable_, job, step, now.steady)) {
     Offer offer = MakeOffer(candidate, need, tasks, now);
     racks[candidate.worker->entry.rack].push_back(offer);
     all.push_back(std::move(offer));
--- a/packages/jobs/src/starts.cc
+++ b/packages/jobs/src/starts.cc
@@ -90,7 +90,8 @@
   Resources used;
   std::uint32_t fitting_now = 0;
   for (const auto& [name, worker] : workers_) {
-    if (!worker.listed || worker.leaving || worker.silent) continue;
+    if (!worker.listed || worker.leaving) continue;
+    if (worker.emptied || worker.silent) continue;
     if (!IsSuited(worker, spec, job.queue.service)) continue;
     capacity += worker.entry.capacity;
     used += worker.used;
@@ -157,7 +158,8 @@
 std::vector<Candidate> Dispatcher::Impl::SelectCandidates(const JobState& job,
                                                           const StepState& step,
                                                           const Now& now) {
-  std::vector<Candidate> candidates = CandidatesFor(usable_, job, step);
+  std::vector<Candidate> candidates =
+      CandidatesFor(usable_, job, step, now.steady);
   const StepSpec& spec = job.SpecOf(step);
   if (IsPressing(job, spec, now)) return candidates;
   const auto empty = [](const Candidate& candidate) {
@@ -182,7 +184,7 @@
   TaskShape shape = ShapeOf(job, job.SpecOf(step), request, now);
   if (unplaced_.Covers(shape)) return false;
   const std::vector<WorkerState*> chosen =
-      PlaceGang(SelectCandidates(job, step, now), request);
+      PlaceGangWarmFirst(SelectCandidates(job, step, now), request);
   if (chosen.empty()) {
     // The limit of tasks on one worker is this step's own.
     const bool limited = job.SpecOf(step).max_tasks_per_worker > 0;
--- a/packages/jobs/src/worker_pool.cc
+++ b/packages/jobs/src/worker_pool.cc
@@ -21,8 +21,8 @@
 
 bool IsUsable(const WorkerState& worker, TimePoint now) {
   return worker.listed && worker.enrolled && worker.reconciled &&
-         !worker.leaving && !worker.silent && worker.clock.has_value() &&
-         now - worker.last_answer < kMaxAnswerAge &&
+         !worker.leaving && !worker.emptied && !worker.silent &&
+         worker.clock.has_value() && now - worker.last_answer < kMaxAnswerAge &&
          now >= worker.quarantined_until && !worker.HasStray();
 }
 
--- a/packages/jobs/src/worker_pool.h
+++ b/packages/jobs/src/worker_pool.h
@@ -57,6 +57,8 @@
   std::optional<TimePoint> leaving_since;
   bool enrolled = false;  ///< It is stored in the table, so it may get work.
   bool leaving = false;
+  bool emptied = false;  ///< The operator empties its data centre.
+  TimePoint cold_until;  ///< It runs slower, so it is used last.
   /// All its runs are known: it has reported to this owner and listed every
   /// end, it got no order from an earlier one, or its lease expired.
   bool reconciled = false;
--- a/tests/jobs/dispatcher_fixture.h
+++ b/tests/jobs/dispatcher_fixture.h
@@ -23,8 +23,10 @@
 /// Answers commits and polls at once; the test answers starts and stops.
 class DispatcherFixture {
  public:
-  explicit DispatcherFixture(std::uint64_t epoch = 1)
-      : dispatcher(DispatcherSettings{}, Epoch{epoch, 0}, predecessors) {
+  explicit DispatcherFixture(std::uint64_t epoch = 1,
+                             const DispatcherSettings& dispatcher_settings = {})
+      : settings(dispatcher_settings),
+        dispatcher(dispatcher_settings, Epoch{epoch, 0}, predecessors) {
     SiteConfiguration site;
     site.queues.push_back(Queue("urgent", 0, 2));
     site.queues.push_back(Queue("batch", 2, 2));
@@ -67,6 +69,11 @@
   /// Adds a worker with 8 accelerators.
   void AddWorker(const std::string& name, const std::string& rack = "r1",
                  Enrolment enrolment = Enrolment::kDurable) {
+    AddWorker(EntryOf(name, rack), enrolment);
+  }
+
+  static WorkerEntry EntryOf(const std::string& name,
+                             const std::string& rack = "r1") {
     WorkerEntry entry;
     entry.name.value = name;
     entry.service.value = "matching";
@@ -74,11 +81,16 @@
     entry.port = 1;
     entry.capacity = {32'000, 128'000, 8};
     entry.rack = rack;
+    return entry;
+  }
+
+  void AddWorker(const WorkerEntry& entry,
+                 Enrolment enrolment = Enrolment::kDurable) {
     if (enrolment == Enrolment::kDurable) {
       Feed(WorkerEnrolled{entry.name, entry.host, entry.port});
     }
     Feed(WorkerListed{entry});
-    reports[name];
+    reports[entry.name.value];
   }
 
   void FinishLoading() { dispatcher.FinishLoading(now.steady); }
@@ -144,6 +156,7 @@
   std::map<std::string, bool> unresponsive;  ///< Workers that answer no poll.
   std::vector<SendOrder> starts;
   std::vector<SendOrder> stops;
+  std::vector<Decision> decisions;
   std::size_t stops_sent = 0;
   /// Unset: the test answers stops.
   std::optional<OrderOutcome> answer_stops_with;
@@ -172,7 +185,9 @@
       std::visit(Overloaded{
                      [&](SendOrder& order) { HandleOrder(std::move(order)); },
                      [&](Commit& commit) { HandleCommit(std::move(commit)); },
-                     [](Decision&) {},
+                     [&](Decision& decision) {
+                       decisions.push_back(std::move(decision));
+                     },
                      [&](ResignOwnership&) { resigned = true; },
                  },
                  effect);
