Read the rows of emptied data centres while owning the cell

Cause: no instance read these rows. The codec gives the range and decodes its keys and the time that a worker is still slow. The stand-in of the table can delete a row. Ruled out: rows in the watch of the whole configuration, which is left to few instances and may be behind; a watch of their own, which depends on the history. Before: the interface did not exist, so the tests could not be compiled.

--- a/packages/jobserver/include/jasminespar/jobserver/dispatch_duty.h
+++ b/packages/jobserver/include/jasminespar/jobserver/dispatch_duty.h
@@ -67,6 +67,7 @@
   void On(WorkerUpdate& update);
   void On(WorkerRemoved& removed);
   void On(WorkersConfirmed& confirmed);
+  void On(EvacuationsFound& found);
   void On(LoadCompleted& completed);
   void On(OrderResult& result);
   void On(WriteCompleted& completed);
--- a/packages/jobserver/include/jasminespar/jobserver/messages.h
+++ b/packages/jobserver/include/jasminespar/jobserver/messages.h
@@ -84,7 +84,7 @@
 /// The table served a request; sent at a limited rate.
 struct TableAnswered {};
 
-// The next eight are for the owner of `epoch`; an instance that does not own
+// The next nine are for the owner of `epoch`; an instance that does not own
 // the cell under that epoch ignores them.
 
 /// A job row was read or has changed, with its progress as loaded at a
@@ -119,6 +119,11 @@
   Epoch epoch;
   TimePoint as_of;
 };
+/// The rows of emptied data centres were read.
+struct EvacuationsFound {
+  Epoch epoch;
+  jobs::EvacuationsRead read;
+};
 /// Everything that the cell's new owner needs from the table was sent.
 struct LoadCompleted {
   Epoch epoch;
@@ -143,8 +148,8 @@
     std::variant<ConfigurationUpdate, CancellationFound, OwnerUpdate,
                  OwnerAbsent, TableAnswered, JobUpdate, QueueRecordFound,
                  EnrolledWorkerFound, WorkerUpdate, WorkerRemoved,
-                 WorkersConfirmed, LoadCompleted, OrderResult, WriteCompleted,
-                 OwnerHeartbeatReceived, ReleaseCell,
+                 WorkersConfirmed, EvacuationsFound, LoadCompleted, OrderResult,
+                 WriteCompleted, OwnerHeartbeatReceived, ReleaseCell,
                  DispatcherSettingsChanged>;
 
 // ---- To the configuration link, from the peer link ----
@@ -186,6 +191,9 @@
 /// This instance owns the cell: load its rows, then report changes.
 struct BeginOwnership {
   Epoch epoch;
+  /// Time after which nothing may start in an emptied data centre; zero: their
+  /// rows are not read.
+  Duration evacuate_within{};
 };
 /// This instance no longer owns the cell: stop reporting changes.
 struct EndOwnership {};
--- a/packages/jobserver/include/jasminespar/jobserver/store_link.h
+++ b/packages/jobserver/include/jasminespar/jobserver/store_link.h
@@ -87,6 +87,9 @@
   void WatchMembers();
   void WatchJobs(Epoch epoch);
   void WatchWorkers(Epoch epoch);
+  /// Reads the rows of emptied data centres again and again while this instance
+  /// owns the cell under that epoch.
+  Coroutine ReadEvacuations(Epoch epoch, Duration interval);
 
   Coroutine Write(WriteRows request, bool for_front);
   Coroutine Read(ReadRow request);
--- a/packages/jobserver/src/dispatch_duty.cc
+++ b/packages/jobserver/src/dispatch_duty.cc
@@ -10,6 +10,7 @@
 namespace jasminespar::jobserver {
 
 using telemetry::Event;
+using telemetry::Gauge;
 using telemetry::Timing;
 
 namespace {
@@ -128,6 +129,13 @@
   }
 }
 
+void DispatchDuty::On(EvacuationsFound& found) {
+  if (!Owns(found.epoch)) return;
+  metrics_.Set(Gauge::kDataCentresEmptied,
+               static_cast<double>(found.read.emptied.size()));
+  HandleInput(std::move(found.read));
+}
+
 void DispatchDuty::On(LoadCompleted& completed) {
   if (!Owns(completed.epoch)) return;
   const TimePoint now = runtime::SteadyNow();
--- a/packages/jobserver/src/owner_writes.cc
+++ b/packages/jobserver/src/owner_writes.cc
@@ -270,7 +270,7 @@
   if (configuration_ != nullptr) {
     HandleInput(jobs::ConfigurationChanged{configuration_});
   }
-  rings_.store.Send(BeginOwnership{row.epoch});
+  rings_.store.Send(BeginOwnership{row.epoch, settings_.evacuate_within});
 }
 
 void DispatchDuty::StepDown() {
@@ -279,6 +279,7 @@
   log_.Log(Event::kCellLost, {{"cell", kCellPartition},
                               {"epoch", ownership_.epoch().durable},
                               {"owner", ownership_.row().owner.value}});
+  metrics_.Set(telemetry::Gauge::kDataCentresEmptied, 0);
   dispatcher_.reset();
   pending_commit_.reset();
   in_flight_.reset();
--- a/packages/jobserver/src/store_link.cc
+++ b/packages/jobserver/src/store_link.cc
@@ -76,21 +76,28 @@
 }
 
 void StoreLink::HandleDispatch(DispatchToStore message) {
-  std::visit(Overloaded{
-                 [this](WriteRows& write) {
-                   asio::co_spawn(duty_.context(),
-                                  Write(std::move(write), false),
-                                  asio::detached);
-                 },
-                 [this](BeginOwnership& begin) {
-                   owned_epoch_ = begin.epoch;
-                   runtime::SpawnPersistent(
-                       duty_.context(),
-                       [this, epoch = begin.epoch] { return Load(epoch); });
-                 },
-                 [this](EndOwnership&) { owned_epoch_.reset(); },
-             },
-             message);
+  std::visit(
+      Overloaded{
+          [this](WriteRows& write) {
+            asio::co_spawn(duty_.context(), Write(std::move(write), false),
+                           asio::detached);
+          },
+          [this](BeginOwnership& begin) {
+            owned_epoch_ = begin.epoch;
+            runtime::SpawnPersistent(
+                duty_.context(),
+                [this, epoch = begin.epoch] { return Load(epoch); });
+            if (begin.evacuate_within == Duration{}) return;
+            runtime::SpawnPersistent(
+                duty_.context(),
+                [this, epoch = begin.epoch,
+                 interval = jobs::EvacuationsInterval(begin.evacuate_within)] {
+                  return ReadEvacuations(epoch, interval);
+                });
+          },
+          [this](EndOwnership&) { owned_epoch_.reset(); },
+      },
+      message);
 }
 
 void StoreLink::HandleConfiguration(ConfigurationToStore message) {
--- a/packages/site/include/jasminespar/site/codec.h
+++ b/packages/site/include/jasminespar/site/codec.h
@@ -12,6 +12,7 @@
 #include <variant>
 #include <vector>
 
+#include "jasminespar/core/ids.h"
 #include "jasminespar/http/message.h"
 #include "jasminespar/jobs/messages.h"
 #include "jasminespar/site/table.h"
@@ -80,6 +81,11 @@
   std::string_view worker_table;
   std::string_view worker_partition;
   Decoded<jobs::WorkerEntry> (*decode_worker)(const Row&);
+  /// Rows of the data centres that the operator empties, as long as they exist.
+  RowRange evacuations;
+  /// @param row of that range.
+  /// @return the data centre that it empties; empty if it names none.
+  DataCentreId (*decode_evacuation)(const Row& row);
 };
 
 struct SiteCodec {
--- a/packages/standins/include/jasminespar/standins/watched_table_service.h
+++ b/packages/standins/include/jasminespar/standins/watched_table_service.h
@@ -34,6 +34,9 @@
   /// Writes one row, as an operator does, and wakes the watches.
   void Put(const site::RowKey& key, std::string value);
 
+  /// Deletes one row, as an operator does, and wakes the watches.
+  void Delete(const site::RowKey& key);
+
   /// Forgets all changes so far.
   void DropHistory() { table_.DropHistory(); }
 
--- a/packages/standins/src/watched_table_service.cc
+++ b/packages/standins/src/watched_table_service.cc
@@ -66,6 +66,13 @@
   WakeWatches();
 }
 
+void WatchedTableService::Delete(const site::RowKey& key) {
+  site::Transaction transaction;
+  transaction.deletes.push_back(key);
+  [[maybe_unused]] const auto outcome = table_.Handle(transaction);
+  WakeWatches();
+}
+
 void WatchedTableService::WakeWatches() {
   for (const auto& watch : std::exchange(watches_, {})) watch->cancel();
 }
--- a/packages/telemetry/include/jasminespar/telemetry/metric_names.h
+++ b/packages/telemetry/include/jasminespar/telemetry/metric_names.h
@@ -136,9 +136,10 @@
   kQuarantinedWorkers,
   kInfeasibleGuarantees,
   kJournalPendingBytes,
+  kDataCentresEmptied,
 };
 
-inline constexpr NameTable<Gauge, 15> kGaugeNames{{
+inline constexpr NameTable<Gauge, 16> kGaugeNames{{
     {Gauge::kReady, "ready", "1 when this instance is ready, else 0."},
     {Gauge::kStoreAvailable, "store_available",
      "1 when the platform's store answers, else 0."},
@@ -166,9 +167,11 @@
      "Guarantees that the workers left cannot hold."},
     {Gauge::kJournalPendingBytes, "journal_pending_bytes",
      "Bytes that wait for a journal write."},
+    {Gauge::kDataCentresEmptied, "data_centres_emptied",
+     "Data centres that the operator empties, as the owner of the cell knows."},
 }};
 static_assert(IsDense(kGaugeNames));
-static_assert(static_cast<std::size_t>(Gauge::kJournalPendingBytes) + 1 ==
+static_assert(static_cast<std::size_t>(Gauge::kDataCentresEmptied) + 1 ==
               kGaugeNames.size());
 
 /// Histograms of durations, exported as jasminespar_{name}_seconds.
--- a/tests/fleet/codec_test.cc
+++ b/tests/fleet/codec_test.cc
@@ -214,6 +214,41 @@
   CHECK(std::get<jobs::WorkerEntry>(decoded).rack == "r1-3");
 }
 
+TEST_CASE("the rows of emptied data centres are a range of their own") {
+  const site::RowRange& range = kCodec.operators.evacuations;
+  const http::Request request = kCodec.table.encode(range);
+  CHECK(request.target ==
+        "/jasminespar/rows-get?table=op&part=&from=evacuate%2F&to=evacuate0");
+  const auto decode = kCodec.operators.decode_evacuation;
+  const auto row_of = [](const std::string& key) {
+    return site::Row{{"op", "", key}, "", {}, false};
+  };
+  CHECK(decode(row_of("evacuate/vn-central-a")).value == "vn-central-a");
+  CHECK(decode(row_of("evacuate/a/b")).value == "a/b");
+  // Rows that name no data centre, and whatever another writer leaves.
+  for (const char* key : {"", "evacuate/", "evacuate", "config"}) {
+    CHECK(decode(row_of(key)).value.empty());
+  }
+}
+
+TEST_CASE("a worker's entry says for how long the worker is still slow") {
+  const auto cold_for = [](const std::string& member) {
+    site::Row row;
+    row.key.key = "i-1";
+    row.value = R"({"service":"s","addr":"10.0.0.1:80","state":"ready",)" +
+                member + R"("capacity":{"cpu":1}})";
+    return std::get<jobs::WorkerEntry>(kCodec.operators.decode_worker(row))
+        .cold_for;
+  };
+  CHECK(cold_for(R"("cold_remaining_ms":2500,)") == 2500ms);
+  CHECK(cold_for(R"("cold_remaining_ms":2500.7,)") == 2500ms);
+  // Such an entry is of use without the time.
+  CHECK(cold_for("") == 0ms);
+  CHECK(cold_for(R"("cold_remaining_ms":"long",)") == 0ms);
+  CHECK(cold_for(R"("cold_remaining_ms":-5,)") == 0ms);
+  CHECK(cold_for(R"("cold_remaining_ms":1e99,)") == 1h);
+}
+
 TEST_CASE("decoding random bytes as any answer never throws") {
   std::mt19937 random(11);
   for (int i = 0; i < 2'000; ++i) {
--- a/tests/jobserver/job_site.cc
+++ b/tests/jobserver/job_site.cc
@@ -66,6 +66,11 @@
   return codec;
 }
 
+site::RowKey EvacuationKey(const std::string& data_centre) {
+  const site::RowRange rows = MakeCodec().operators.evacuations;
+  return {rows.table, rows.partition, rows.from + data_centre};
+}
+
 }  // namespace
 
 JobSite::JobSite(std::size_t instances)
@@ -116,6 +121,7 @@
   settings.status_retention = 120s;
   settings.stop_limit = 900ms;
   settings.reclaim_within = 3s;
+  settings.evacuate_within = evacuate_within_;
   settings.shutdown_grace = 6s;
   settings.max_connections = 64;
   settings.ring_capacity = 1024;
@@ -140,6 +146,38 @@
   RunOnTableDuty([&] { table_->Put(key, text); });
 }
 
+void JobSite::EmptyDataCentre(const std::string& name) {
+  RunOnTableDuty([&] { table_->Put(EvacuationKey(name), "{}"); });
+}
+
+void JobSite::TakeDataCentreBack(const std::string& name) {
+  RunOnTableDuty([&] { table_->Delete(EvacuationKey(name)); });
+}
+
+std::string JobSite::MetricsOf(std::size_t instance) const {
+  http::Request request;
+  request.target = "/metrics";
+  asio::io_context context{1};
+  http::Client client(context, "127.0.0.1", PortsOf(instance).metrics, 1);
+  auto response = asio::co_spawn(context, client.Send(std::move(request), 5s),
+                                 asio::use_future);
+  context.run();
+  try {
+    return response.get().body;
+  } catch (const Error&) {
+    return {};
+  }
+}
+
+bool JobSite::WaitForMetric(std::size_t instance, const std::string& line) {
+  const TimePoint deadline = runtime::SteadyNow() + kServedTimeout;
+  while (runtime::SteadyNow() < deadline) {
+    if (MetricsOf(instance).find(line + '\n') != std::string::npos) return true;
+    std::this_thread::sleep_for(kPollInterval);
+  }
+  return false;
+}
+
 void JobSite::DropHistory() {
   RunOnTableDuty([this] { table_->DropHistory(); });
 }
--- a/tests/jobserver/job_site.h
+++ b/tests/jobserver/job_site.h
@@ -39,6 +39,10 @@
 
   void StartInstance(std::size_t instance);
 
+  /// Sets the time after which nothing may start in an emptied data centre, for
+  /// instances that are started later; zero: none is emptied.
+  void SetEvacuateWithin(Duration within) { evacuate_within_ = within; }
+
   /// Sets the faults of the link from an instance to the table.
   void SetTableLink(std::size_t instance, const standins::LinkFaults& faults);
 
@@ -51,6 +55,14 @@
   /// Writes an entry into the platform's list of workers.
   void PutWorkerEntry(const std::string& name, const std::string& text);
 
+  void EmptyDataCentre(const std::string& name);
+  void TakeDataCentreBack(const std::string& name);
+
+  /// @return whether the instance's metrics had this line before the time ran
+  ///     out.
+  [[nodiscard]] bool WaitForMetric(std::size_t instance,
+                                   const std::string& line);
+
   /// @return whether the instance served the queue before the time ran out.
   [[nodiscard]] bool WaitUntilServed(std::size_t instance,
                                      const std::string& queue);
@@ -68,9 +80,11 @@
   };
 
   [[nodiscard]] Ports PortsOf(std::size_t instance) const;
+  [[nodiscard]] std::string MetricsOf(std::size_t instance) const;
   void RunOnTableDuty(const std::function<void()>& action);
 
   std::uint16_t first_port_;
+  Duration evacuate_within_{};
   runtime::Duty table_duty_{"table"};
   std::unique_ptr<standins::WatchedTableService> table_;
   std::vector<std::shared_ptr<standins::TcpRoute>> links_;
