One rule for stalls, for tasks of any length and for gangs

Cause: a run whose percent did not change for 5 s (or for three times the time per percent so far) was taken for stalled, whatever the task's length. The members of a gang that had reached 100 percent and waited for slower ones were stopped, the whole gang was lost and a sound worker shut out.

Change: a run may show the same percent for a share of its run time, as far as its own rate, other runs of the step or the estimate tell; at least 5 s, as before for tasks of up to 50 s. A gang is judged by its member that is behind. Each stop of a task doubles its patience; stops concern at most one in six of a service's workers at a time, and the last usable one is not shut out. The log line of such a stop has percent, still_ms, patience_ms, stops.

Ruled out: exempting only members at 100 (they wait at lower percents too); a table row for each stop (saves one early stop after a takeover).

Tests: stall_rule_test compares with the former rule; of the ten cases that stalled_runs_test had at first, seven failed on the former rule. The fixture's time step can be set now; no existing test changed.

--- a/packages/jobs/src/dispatcher_impl.h
+++ b/packages/jobs/src/dispatcher_impl.h
@@ -168,8 +168,34 @@
   /// Reconciles workers whose lease has expired, and removes the runs of silent
   /// ones.
   void ExpireLeases(const Now& now);
-  /// Stops runs without progress and quarantines their workers.
+
+  // stalled_runs.cc: runs without progress.
+  /// Stops stalled runs and gives their workers no new work for a while.
   void StopStalledRuns(const Now& now);
+  /// @return the task's current run if it is running, else null.
+  [[nodiscard]] PlacedRun* FindRunning(const TaskName& name,
+                                       const TaskState& task);
+  /// @return the longest run time that a running run of the step shows.
+  [[nodiscard]] std::optional<Duration> LongestShownRunTime(
+      const JobState& job, const StepState& step);
+  /// Judges a task, or its whole gang, and stops the run to blame, if any.
+  /// @param first the task, or the first one of the gang.
+  /// @param shown the longest run time that a run of the step shows.
+  void JudgeRuns(JobState& job, const TaskName& first,
+                 const std::optional<Duration>& shown, const Now& now);
+  /// @return whether all runs of the worker, of two at least, seem to stand
+  ///     while other workers' runs go on.
+  [[nodiscard]] bool IsWorkerStanding(const WorkerState& worker,
+                                      const Now& now);
+  /// @return whether a run may be stopped as stalled there now: it is only on a
+  ///     small share of a service's workers at a time.
+  [[nodiscard]] bool MaySuspect(const WorkerState& worker,
+                                const Now& now) const;
+  /// @return whether the service has no other worker for new work.
+  [[nodiscard]] bool IsLastUsable(const WorkerState& worker,
+                                  const Now& now) const;
+  void StopStalledRun(JobState& job, const TaskName& name,
+                      const std::string& detail, const Now& now);
 
   // run_ends.cc: ended and lost runs, ends of jobs.
   void HandleRunEnd(WorkerState& worker, const EndedRun& end, const Now& now);
@@ -194,8 +220,10 @@
   void StopGang(JobState& job, StepState& step, RunNumber run,
                 DecisionCause cause, const Now& now);
   /// Sends a stop, unless the run is being stopped already.
+  /// @param detail for the log.
   void BeginStop(WorkerState& worker, const TaskName& name, PlacedRun& placed,
-                 DecisionCause cause, const Now& now);
+                 DecisionCause cause, const Now& now,
+                 std::string_view detail = {});
 
   // starts.cc: choice of the tasks to start.
   void StartWaitingTasks(const Now& now);
--- a/packages/jobs/src/job_table.h
+++ b/packages/jobs/src/job_table.h
@@ -26,6 +26,7 @@
   std::string checkpoint;
   WorkerName failed_on;  ///< Worker of the last failure; empty: none.
   TimePoint waiting_since;
+  std::uint32_t stalls = 0;  ///< Runs of it that were stopped as stalled.
 };
 
 /// One step of one occurrence.
--- a/packages/jobs/src/run_ends.cc
+++ b/packages/jobs/src/run_ends.cc
@@ -185,14 +185,14 @@
 
 void Dispatcher::Impl::BeginStop(WorkerState& worker, const TaskName& name,
                                  PlacedRun& placed, DecisionCause cause,
-                                 const Now& now) {
+                                 const Now& now, std::string_view detail) {
   if (placed.phase == PlacedRunPhase::kStopping) return;
   placed.phase = PlacedRunPhase::kStopping;
   worker.has_open_orders = true;
   placed.in_flight = false;
   placed.retry_at = now.steady;
   LogRunDecision(DecisionKind::kStop, cause, name, worker.entry.name,
-                 placed.run, "", now.steady - worker.last_answer);
+                 placed.run, detail, now.steady - worker.last_answer);
   SendStop(worker, name, placed, now);
 }
 
--- a/packages/jobs/src/worker_polls.cc
+++ b/packages/jobs/src/worker_polls.cc
@@ -23,36 +23,8 @@
 /// A worker without an answer for this long is silent and gets no new work.
 constexpr Duration kSilenceTimeout = 1500ms;
 
-/// A run whose reports show no progress for this long is stopped and started
-/// elsewhere.
-constexpr Duration kStallTimeout = 5s;
-
-/// Between two looks at the progress of all runs.
-constexpr Duration kStallCheckInterval = 500ms;
-
-/// A run that has needed longer for each percent so far is given this many
-/// times as long for the next one.
-constexpr int kStallFactor = 3;
-
-/// A worker on which a run stalled gets no new work for this long.
-constexpr Duration kStallQuarantine = 6s;
-
 constexpr std::uint32_t kMaxPollsInFlight = 2;
 
-/// @return how long the run may report the same progress.
-Duration StallTimeoutOf(const PlacedRun& placed) {
-  if (placed.percent == 0 || !placed.confirmed_at) return kStallTimeout;
-  const Duration worked = placed.progressed_at - *placed.confirmed_at;
-  return std::max(kStallTimeout, kStallFactor * worked / placed.percent);
-}
-
-/// The time of the last report counts, not the present: a worker that reports
-/// nothing may be slow to answer while its runs go on.
-bool IsStalled(const PlacedRun& placed) {
-  return placed.phase == PlacedRunPhase::kRunning &&
-         placed.reported_at - placed.progressed_at >= StallTimeoutOf(placed);
-}
-
 }  // namespace
 
 void Dispatcher::Impl::PollWorkers(const Now& now) {
@@ -170,11 +142,7 @@
     confirmed.run = listed.run;
     HandleAcceptedStart(worker, confirmed, now);
   }
-  placed.reported_at = now.steady;
-  if (placed.percent != listed.percent) placed.progressed_at = now.steady;
-  placed.percent = listed.percent;
-  if (placed.checkpoint != listed.checkpoint) placed.progressed_at = now.steady;
-  placed.checkpoint = listed.checkpoint;
+  NoteProgress(placed, listed, now.steady);
 }
 
 void Dispatcher::Impl::AdoptRun(WorkerState& worker, const ListedRun& listed,
@@ -190,6 +158,7 @@
   placed.reported_at = now.steady;
   placed.percent = listed.percent;
   placed.checkpoint = listed.checkpoint;
+  placed.adopted = true;
   placed.stray = task == nullptr;
   if (task != nullptr) {
     const StepState& step = StepOf(*job, listed.task);
@@ -251,20 +220,4 @@
   }
 }
 
-void Dispatcher::Impl::StopStalledRuns(const Now& now) {
-  if (now.steady < next_stall_check_) return;
-  next_stall_check_ = now.steady + kStallCheckInterval;
-  for (auto& [name, worker] : workers_) {
-    if (worker.silent) continue;
-    for (auto& [task, placed] : worker.placed_runs) {
-      if (!IsStalled(placed)) continue;
-      JobState* job = FindJob(task.job);
-      if (job == nullptr || job->SpecOf(StepOf(*job, task)).long_running)
-        continue;
-      worker.quarantined_until = now.steady + kStallQuarantine;
-      BeginStop(worker, task, placed, DecisionCause::kNoProgress, now);
-    }
-  }
-}
-
 }  // namespace jasminespar::jobs
--- a/packages/jobs/src/worker_pool.h
+++ b/packages/jobs/src/worker_pool.h
@@ -41,6 +41,11 @@
   TimePoint progressed_at;
   /// Of the last report that listed the run.
   TimePoint reported_at;
+  bool adopted = false;  ///< An earlier owner started it.
+  /// Since when the reports show its own rate, and the percent then.
+  std::optional<TimePoint> rate_since;
+  std::uint32_t rate_from = 0;
+  TimePoint judge_at;  ///< When to judge again whether it has stalled.
 
   /// @return whether the worker has not yet confirmed its start or its stop.
   [[nodiscard]] bool HasOpenOrder() const noexcept {
@@ -81,6 +86,8 @@
   std::uint32_t failures_in_row = 0;
   JobId last_failed_job;
   TimePoint quarantined_until;
+  std::optional<TimePoint> stalled_at;  ///< When a run last stalled on it.
+  JobId last_stalled_job;
 
   Resources used;      ///< By `placed_runs`.
   Resources reserved;  ///< By reclaim plans, for runs that have not started.
@@ -99,6 +106,9 @@
   [[nodiscard]] bool HasStray() const;
 };
 
+/// stalled_runs.cc: applies what a report shows of a run.
+void NoteProgress(PlacedRun& placed, const ListedRun& listed, TimePoint now);
+
 /// A worker whose last answer is older gets no new work.
 inline constexpr Duration kMaxAnswerAge = 3500ms;
 
--- a/tests/jobs/dispatcher_fixture.h
+++ b/tests/jobs/dispatcher_fixture.h
@@ -97,10 +97,9 @@
 
   /// Advances time in small steps, calling Decide after each.
   void Advance(Duration duration, Authority authority = Authority::kFull) {
-    constexpr Duration kStep = 50ms;
-    for (Duration passed{}; passed < duration; passed += kStep) {
-      now.steady += kStep;
-      now.wall.value += static_cast<std::uint64_t>(ToMilliseconds(kStep));
+    for (Duration passed{}; passed < duration; passed += tick) {
+      now.steady += tick;
+      now.wall.value += static_cast<std::uint64_t>(ToMilliseconds(tick));
       if (list_confirmed) Feed(WorkerListConfirmed{now.steady});
       ApplyEffects(dispatcher.Decide(authority, now));
     }
@@ -149,6 +148,7 @@
   Dispatcher dispatcher;
   std::shared_ptr<const ConfigurationSnapshot> configuration;
   Now now{TimePoint(1h), {1'000'000}};
+  Duration tick = 50ms;  ///< Between decisions while time advances.
   std::map<std::string, WorkerReport> reports;
   std::map<std::string, std::uint64_t> last_end;
   /// Most ends that a worker lists in one report, the oldest first.
