Place gangs on workers of like pace

Change: reports and ends are recorded (pace_probe.h, pace_observations.cc). While workers are known to differ, a gang gets the fastest workers that hold it if that ends it clearly sooner, else slow ones alone, if they hold it. For an earlier end, a gang opens more empty workers than its usual place only while over 12 of 100 are empty; without one it opens none. Of workers with equal room, pressing single tasks take those that are not clearly slow, patient ones those that are. A start's line has `expected_ms`; `paces_differ` and `paces_alike` say since when decisions use paces; gauges known_paces and pace_spread.

--- a/packages/jobs/include/jasminespar/jobs/dispatcher.h
+++ b/packages/jobs/include/jasminespar/jobs/dispatcher.h
@@ -64,6 +64,12 @@
 /// time only: a worker may have begun to leave since.
 inline constexpr Duration kMaxWorkerListAge = 1800ms;
 
+/// What the owner knows of the pace of its workers.
+struct PaceSummary {
+  std::size_t known = 0;  ///< Workers whose pace is known well.
+  double spread = 0;      ///< Standard deviation of its logarithm.
+};
+
 /// Makes the scheduling decisions of one cell during one epoch of ownership.
 /// Performs no I/O: the caller feeds inputs and carries out the returned
 /// effects in order. Not thread-safe.
@@ -93,6 +99,8 @@
   [[nodiscard]] std::vector<DispatcherEffect> Decide(Authority authority,
                                                      const Now& now);
 
+  [[nodiscard]] PaceSummary paces() const;
+
  private:
   class Impl;
   std::unique_ptr<Impl> impl_;
--- a/packages/jobs/include/jasminespar/jobs/messages.h
+++ b/packages/jobs/include/jasminespar/jobs/messages.h
@@ -204,9 +204,11 @@
   kCheckpointNotStored,
   kDataCentreEmptied,
   kDataCentreInUse,
+  kPacesDiffer,
+  kPacesAlike,
 };
 
-inline constexpr NameTable<DecisionKind, 21> kDecisionNames{{
+inline constexpr NameTable<DecisionKind, 23> kDecisionNames{{
     {DecisionKind::kStart, "start", "A start was ordered."},
     {DecisionKind::kStop, "stop", "A stop was ordered."},
     {DecisionKind::kRunEnded, "run_ended", "A worker reported an ended run."},
@@ -239,6 +241,10 @@
      "The operator empties a data centre; nothing starts there."},
     {DecisionKind::kDataCentreInUse, "data_centre_in_use",
      "The operator has taken an emptied data centre back."},
+    {DecisionKind::kPacesDiffer, "paces_differ",
+     "Workers are known to differ in pace; decisions use that."},
+    {DecisionKind::kPacesAlike, "paces_alike",
+     "Workers are no longer known to differ in pace."},
 }};
 static_assert(IsDense(kDecisionNames));
 
--- a/packages/jobs/src/commits.cc
+++ b/packages/jobs/src/commits.cc
@@ -35,6 +35,7 @@
     const auto found = workers_.find(name);
     if (found == workers_.end() || found->second.listed) continue;
     if (found->second.polls_in_flight == 0) {
+      paces_.Forget(name);
       workers_.erase(found);
     } else {
       found->second.enrolled = false;
--- a/packages/jobs/src/decision_log.cc
+++ b/packages/jobs/src/decision_log.cc
@@ -22,6 +22,15 @@
       Decision{kind, cause, task, worker, run, std::string(detail), age});
 }
 
+void Dispatcher::Impl::LogPaces() {
+  Decision decision;
+  decision.kind = paces_.WorkersDiffer() ? DecisionKind::kPacesDiffer
+                                         : DecisionKind::kPacesAlike;
+  decision.detail = "known=" + std::to_string(paces_.known()) +
+                    " spread=" + std::to_string(paces_.spread());
+  effects_.emplace_back(std::move(decision));
+}
+
 void Dispatcher::Impl::LogWorkerDecision(DecisionKind kind,
                                          const WorkerName& worker,
                                          Duration age) {
--- a/packages/jobs/src/dispatcher.cc
+++ b/packages/jobs/src/dispatcher.cc
@@ -206,6 +206,8 @@
   worker.placed_runs.erase(found);
 }
 
+PaceSummary Dispatcher::paces() const { return impl_->paces(); }
+
 Dispatcher::Dispatcher(const DispatcherSettings& settings, Epoch epoch,
                        const PredecessorWindows& predecessors)
     : impl_(std::make_unique<Impl>(settings, epoch, predecessors)) {}
--- a/packages/jobs/src/dispatcher_impl.h
+++ b/packages/jobs/src/dispatcher_impl.h
@@ -19,7 +19,9 @@
 
 #include "evacuations.h"
 #include "jasminespar/jobs/dispatcher.h"
+#include "jasminespar/jobs/worker_pace.h"
 #include "job_table.h"
+#include "pace_placement.h"
 #include "placement.h"
 #include "unplaced_shapes.h"
 #include "worker_pool.h"
@@ -52,6 +54,9 @@
   [[nodiscard]] std::vector<DispatcherEffect> TakeEffects() {
     return std::exchange(effects_, {});
   }
+  [[nodiscard]] PaceSummary paces() const {
+    return {paces_.known(), paces_.spread()};
+  }
 
  private:
   struct PendingOrder {
@@ -263,6 +268,27 @@
   void StopIncompleteGangs(const Now& now);
   [[nodiscard]] RunNumber NextRun();
 
+  // pace_observations.cc: what reports and ends show of the workers' pace.
+  /// To be called for each listed run before its percent is taken over.
+  void ObserveProgress(const WorkerState& worker, const ListedRun& listed,
+                       PlacedRun& placed, const Now& now);
+  void ObserveEnd(const WorkerState& worker, const EndedRun& end,
+                  const PlacedRun& placed, const Now& now);
+  void RecordPace(const WorkerState& worker, const TaskName& task,
+                  RunNumber run, const ObservedTime& seen);
+  void ForgetPace(WorkerState& worker);
+  /// Updates what is known of all workers, if that is due.
+  void RefitPaces(const Now& now);
+  /// @return whether decisions use the pace of workers.
+  [[nodiscard]] bool PaceActs() const;
+  [[nodiscard]] PaceOrder PaceOrderOf(const JobState& job,
+                                      const StepState& step,
+                                      const Now& now) const;
+  /// @return the expected run time on the worker, for the log.
+  [[nodiscard]] std::string DescribeRunTime(const JobState& job,
+                                            const StepState& step,
+                                            const WorkerState& worker) const;
+
   // reclaim.cc: preemption for guaranteed work.
   struct Victim;
   struct Offer;
@@ -310,6 +336,8 @@
   void LogRunDecision(DecisionKind kind, DecisionCause cause,
                       const TaskName& task, const WorkerName& worker,
                       RunNumber run, std::string_view detail, Duration age);
+  /// Logs that decisions begin or cease to use the pace of workers.
+  void LogPaces();
   void LogWorkerDecision(DecisionKind kind, const WorkerName& worker,
                          Duration age);
 
@@ -329,6 +357,9 @@
   WorkerMap workers_;
   /// Workers that new work may be placed on; of the present decision only.
   std::vector<WorkerState*> usable_;
+  WorkerPaces paces_;
+  bool paces_changed_ = false;  ///< Since the last Refit.
+  TimePoint next_refit_;
   UnplacedShapes unplaced_;  ///< Of the present decision only.
   /// Accelerators that runs of priority 0 occupy.
   std::map<ClientAccountId, std::int64_t> urgent_use_;
--- a/packages/jobs/src/job_table.h
+++ b/packages/jobs/src/job_table.h
@@ -41,6 +41,8 @@
   std::vector<WorkerName> plan;
   TimePoint planned_at;
   TimePoint next_reclaim;
+  /// When the last start of one of its tasks was confirmed.
+  TimePoint last_confirmed_at;
 
   [[nodiscard]] bool finished() const noexcept { return done == tasks.size(); }
   [[nodiscard]] bool waiting() const noexcept {
--- a/packages/jobs/src/orders.cc
+++ b/packages/jobs/src/orders.cc
@@ -87,7 +87,9 @@
   // seconds away.
   worker.next_poll = std::min(worker.next_poll, now.steady);
   JobState* job = FindJob(order.task.job);
-  if (job == nullptr || job->phase != JobPhase::kQueued) return;
+  if (job == nullptr) return;
+  StepOf(*job, order.task).last_confirmed_at = now.steady;
+  if (job->phase != JobPhase::kQueued) return;
   job->phase = JobPhase::kRunning;
   job->status_dirty = true;
   MarkDirty(*job, 0);
--- a/packages/jobs/src/placement.cc
+++ b/packages/jobs/src/placement.cc
@@ -3,6 +3,9 @@
 #include <algorithm>
 #include <limits>
 #include <string>
+#include <tuple>
+
+#include "pace_placement.h"
 
 namespace jasminespar::jobs {
 
@@ -115,8 +118,9 @@
   return candidates;
 }
 
-std::vector<WorkerState*> PlaceGang(std::vector<Candidate> candidates,
+std::vector<WorkerState*> PlaceGang(const std::vector<Candidate>& suited,
                                     const PlacementRequest& request) {
+  std::vector<Candidate> candidates = suited;
   const StepSpec& spec = *request.spec;
   const Resources need = NeedOf(spec);
   std::erase_if(candidates, [&](const Candidate& candidate) {
@@ -145,15 +149,16 @@
   return FillFullestFirst(std::move(candidates), need, request.tasks);
 }
 
-std::vector<WorkerState*> PlaceGangWarmFirst(std::vector<Candidate> candidates,
-                                             const PlacementRequest& request) {
+std::vector<WorkerState*> PlaceGangWarmFirst(
+    const std::vector<Candidate>& candidates, const PlacementRequest& request,
+    GangPlacer place) {
   std::vector<Candidate> warm = candidates;
   std::erase_if(warm, [](const Candidate& each) { return each.cold; });
   if (warm.size() < candidates.size()) {
-    std::vector<WorkerState*> chosen = PlaceGang(std::move(warm), request);
+    std::vector<WorkerState*> chosen = place(warm, request);
     if (!chosen.empty()) return chosen;
   }
-  return PlaceGang(std::move(candidates), request);
+  return place(candidates, request);
 }
 
 WorkerState* PlaceTask(std::span<Candidate> candidates,
@@ -161,7 +166,7 @@
   const StepSpec& spec = *request.spec;
   const Resources need = NeedOf(spec);
   Candidate* best = nullptr;
-  auto best_key = std::pair<int, std::int64_t>{};
+  auto best_key = std::tuple<int, std::int64_t, int>{};
   for (Candidate& candidate : candidates) {
     if (CountFitting(need, candidate.room, candidate.limit) == 0) continue;
     const bool home = spec.preferred_rack.empty() ||
@@ -170,7 +175,8 @@
     const bool avoided = candidate.worker->entry.name == request.avoid;
     const int rank =
         (avoided ? 4 : 0) + (candidate.cold ? 2 : 0) + (home ? 0 : 1);
-    const std::pair<int, std::int64_t> key{rank, WeightOf(candidate.room)};
+    const std::tuple key{rank, WeightOf(candidate.room),
+                         PaceRank(*candidate.worker, request.pace)};
     if (best != nullptr && best_key <= key) continue;
     best = &candidate;
     best_key = key;
--- a/packages/jobs/src/placement.h
+++ b/packages/jobs/src/placement.h
@@ -25,6 +25,9 @@
   bool cold = false;        ///< Used only if the others do not suffice.
 };
 
+/// Which of two workers with the same room a single task is placed on.
+enum class PaceOrder : std::uint8_t { kNone, kFastFirst, kSlowFirst };
+
 struct PlacementRequest {
   const StepSpec* spec = nullptr;
   std::uint32_t tasks = 0;
@@ -32,6 +35,7 @@
   /// rack for a gang that prefers one.
   bool other_racks_allowed = true;
   WorkerName avoid;  ///< Used only if no other worker has room; may be empty.
+  PaceOrder pace = PaceOrder::kNone;
 };
 
 /// @return the resources that a task of the step occupies on a worker.
@@ -56,11 +60,17 @@
 /// Places all tasks of a gang, or none, on cold workers as on others.
 /// @return a worker for each task; empty if they do not all fit now.
 [[nodiscard]] std::vector<WorkerState*> PlaceGang(
-    std::vector<Candidate> candidates, const PlacementRequest& request);
+    const std::vector<Candidate>& suited, const PlacementRequest& request);
+
+/// Chooses workers for all tasks of a gang; empty if they do not all fit.
+using GangPlacer = std::vector<WorkerState*> (*)(
+    const std::vector<Candidate>& candidates, const PlacementRequest& request);
 
-/// The same, on cold workers only if the others do not suffice.
+/// Places all tasks of a gang, on cold workers only if the others do not
+/// suffice.
 [[nodiscard]] std::vector<WorkerState*> PlaceGangWarmFirst(
-    std::vector<Candidate> candidates, const PlacementRequest& request);
+    const std::vector<Candidate>& candidates, const PlacementRequest& request,
+    GangPlacer place);
 
 /// Places one task on the worker with the least room that suffices, and deducts
 /// the task from that candidate.
--- a/packages/jobs/src/run_ends.cc
+++ b/packages/jobs/src/run_ends.cc
@@ -25,6 +25,7 @@
   TaskState* task = job == nullptr ? nullptr : FindTask(*job, end.task);
   const auto held = worker.placed_runs.find(end.task);
   if (held != worker.placed_runs.end() && held->second.run == end.run) {
+    ObserveEnd(worker, end, held->second, now);
     RemovePlacedRun(worker, end.task);
   }
   LogRunDecision(DecisionKind::kRunEnded, DecisionCause::kNone, end.task,
--- a/packages/jobs/src/starts.cc
+++ b/packages/jobs/src/starts.cc
@@ -37,6 +37,7 @@
 
 void Dispatcher::Impl::StartWaitingTasks(const Now& now) {
   if (configuration_ == nullptr) return;
+  RefitPaces(now);
   all_reconciled_ = all_reconciled_ || AllWorkersReconciled();
   usable_ = UsableWorkers(workers_, now.steady);
   unplaced_.Clear();
@@ -165,6 +166,7 @@
   const auto empty = [](const Candidate& candidate) {
     return candidate.worker->placed_runs.empty();
   };
+  if (PaceActs()) PutSlowFirst(candidates);  // The last ones are kept.
   const auto kept = static_cast<std::ptrdiff_t>(
       std::floor(kReservedShare * static_cast<double>(candidates.size())));
   std::ptrdiff_t spare =
@@ -180,11 +182,12 @@
   const auto tasks = static_cast<std::uint32_t>(step.tasks.size());
   PlacementRequest request{&job.SpecOf(step), tasks,
                            MayUseOtherRacks(job, step, tasks, now),
-                           step.tasks.front().failed_on};
+                           step.tasks.front().failed_on, PaceOrder::kNone};
   TaskShape shape = ShapeOf(job, job.SpecOf(step), request, now);
   if (unplaced_.Covers(shape)) return false;
   const std::vector<WorkerState*> chosen =
-      PlaceGangWarmFirst(SelectCandidates(job, step, now), request);
+      PlaceGangWarmFirst(SelectCandidates(job, step, now), request,
+                         PaceActs() ? PlaceGangByPace : PlaceGang);
   if (chosen.empty()) {
     // The limit of tasks on one worker is this step's own.
     const bool limited = job.SpecOf(step).max_tasks_per_worker > 0;
@@ -200,8 +203,11 @@
 
 bool Dispatcher::Impl::StartTasks(JobState& job, StepState& step,
                                   const Now& now) {
-  PlacementRequest request{
-      &job.SpecOf(step), 1, MayUseOtherRacks(job, step, 1, now), {}};
+  PlacementRequest request{&job.SpecOf(step),
+                           1,
+                           MayUseOtherRacks(job, step, 1, now),
+                           {},
+                           PaceOrderOf(job, step, now)};
   TaskShape shape = ShapeOf(job, job.SpecOf(step), request, now);
   if (unplaced_.Covers(shape)) return false;
   std::vector<Candidate> candidates = SelectCandidates(job, step, now);
@@ -239,7 +245,8 @@
   placed.start_checkpoint = task.checkpoint;
   AddPlacedRun(worker, name, std::move(placed));
   LogRunDecision(DecisionKind::kStart, DecisionCause::kRoomFound, name,
-                 worker.entry.name, run, "", now.steady - worker.last_answer);
+                 worker.entry.name, run, DescribeRunTime(job, step, worker),
+                 now.steady - worker.last_answer);
   SendStart(worker, name, worker.placed_runs.at(name), now);
 }
 
--- a/packages/jobs/src/worker_polls.cc
+++ b/packages/jobs/src/worker_polls.cc
@@ -122,6 +122,7 @@
   worker.committing_to = 0;
   worker.durable_to = 0;
   worker.failures_in_row = 0;
+  ForgetPace(worker);
 }
 
 void Dispatcher::Impl::HandleListedRun(WorkerState& worker,
@@ -142,6 +143,7 @@
     confirmed.run = listed.run;
     HandleAcceptedStart(worker, confirmed, now);
   }
+  ObserveProgress(worker, listed, placed, now);
   NoteProgress(placed, listed, now.steady);
 }
 
--- a/packages/jobs/src/worker_pool.h
+++ b/packages/jobs/src/worker_pool.h
@@ -13,6 +13,7 @@
 
 #include "jasminespar/jobs/dispatcher.h"
 #include "jasminespar/jobs/messages.h"
+#include "pace_probe.h"
 
 namespace jasminespar::jobs {
 
@@ -46,6 +47,7 @@
   std::optional<TimePoint> rate_since;
   std::uint32_t rate_from = 0;
   TimePoint judge_at;  ///< When to judge again whether it has stalled.
+  PaceProbe pace;
 
   /// @return whether the worker has not yet confirmed its start or its stop.
   [[nodiscard]] bool HasOpenOrder() const noexcept {
@@ -89,6 +91,8 @@
   std::optional<TimePoint> stalled_at;  ///< When a run last stalled on it.
   JobId last_stalled_job;
 
+  double slowness = 1.0;  ///< As last learned; 1: usual or not known.
+
   Resources used;      ///< By `placed_runs`.
   Resources reserved;  ///< By reclaim plans, for runs that have not started.
   std::map<TaskName, PlacedRun> placed_runs;
--- a/packages/jobserver/src/dispatch_duty.cc
+++ b/packages/jobserver/src/dispatch_duty.cc
@@ -217,6 +217,11 @@
   const TimePoint ended = runtime::SteadyNow();
   pace_.RecordDecision(begun, ended);
   metrics_.Observe(Timing::kDecision, ended - begun);
+  // An effect may have ended the ownership.
+  const jobs::PaceSummary paces =
+      dispatcher_ == nullptr ? jobs::PaceSummary{} : dispatcher_->paces();
+  metrics_.Set(Gauge::kKnownPaces, static_cast<double>(paces.known));
+  metrics_.Set(Gauge::kPaceSpread, paces.spread);
 }
 
 void DispatchDuty::HandleInput(jobs::DispatcherInput input) {
--- a/packages/telemetry/include/jasminespar/telemetry/metric_names.h
+++ b/packages/telemetry/include/jasminespar/telemetry/metric_names.h
@@ -137,9 +137,11 @@
   kInfeasibleGuarantees,
   kJournalPendingBytes,
   kDataCentresEmptied,
+  kKnownPaces,
+  kPaceSpread,
 };
 
-inline constexpr NameTable<Gauge, 16> kGaugeNames{{
+inline constexpr NameTable<Gauge, 18> kGaugeNames{{
     {Gauge::kReady, "ready", "1 when this instance is ready, else 0."},
     {Gauge::kStoreAvailable, "store_available",
      "1 when the platform's store answers, else 0."},
@@ -169,9 +171,13 @@
      "Bytes that wait for a journal write."},
     {Gauge::kDataCentresEmptied, "data_centres_emptied",
      "Data centres that the operator empties, as the owner of the cell knows."},
+    {Gauge::kKnownPaces, "known_paces",
+     "Workers whose pace the owner here knows."},
+    {Gauge::kPaceSpread, "pace_spread",
+     "Standard deviation of the logarithm of those paces."},
 }};
 static_assert(IsDense(kGaugeNames));
-static_assert(static_cast<std::size_t>(Gauge::kDataCentresEmptied) + 1 ==
+static_assert(static_cast<std::size_t>(Gauge::kPaceSpread) + 1 ==
               kGaugeNames.size());
 
 /// Histograms of durations, exported as jasminespar_{name}_seconds.
