Measure the owner's cost with the pace of workers on and off

Change: bench_owner_cost has workers of two paces whose reports show progress, and a row for each setting.

--- a/benchmark/owner_cost.cc
+++ b/benchmark/owner_cost.cc
@@ -5,8 +5,11 @@
 ///     bench_owner_cost [ROUNDS]
 ///
 /// CSV on stdout: a row for each number of workers, all of them busy, with
-/// waiting jobs in proportion. Times are means, in microseconds.
+/// waiting jobs in proportion, without and with the setting `worker_pace`; a
+/// quarter of the workers is slow, and each report shows progress. Times are
+/// means, in microseconds.
 
+#include <algorithm>
 #include <chrono>
 #include <cstdio>
 #include <cstdlib>
@@ -30,6 +33,9 @@
 constexpr std::size_t kWorkersPerWaitingJob = 20;
 constexpr std::uint32_t kTasksPerJob = 40;
 constexpr std::uint32_t kGangMembers = 5;
+constexpr std::uint32_t kMaxPercent = 99;
+constexpr std::uint32_t kSlowEvery = 4;
+constexpr Duration kRound = 40ms;
 
 double MicrosecondsSince(Clock::time_point begun) {
   return std::chrono::duration<double, std::micro>(Clock::now() - begun)
@@ -39,8 +45,8 @@
 /// A dispatcher whose workers run as many small tasks as they have room for.
 class BusyCell {
  public:
-  explicit BusyCell(std::size_t workers)
-      : dispatcher_(jobs::DispatcherSettings{}, Epoch{1, 0}, {}) {
+  BusyCell(std::size_t workers, Switch pace)
+      : dispatcher_(SettingsWith(pace), Epoch{1, 0}, {}) {
     Configure();
     for (std::size_t i = 0; i < workers; ++i) AddWorker(i);
     dispatcher_.FinishLoading(now_.steady);
@@ -70,6 +76,8 @@
   /// @return the time for each, in microseconds.
   double ReportAll() {
     const std::vector<jobs::SendOrder> polls = std::exchange(polls_, {});
+    now_.steady += kRound;
+    Progress();
     const Clock::time_point begun = Clock::now();
     for (const jobs::SendOrder& poll : polls) {
       jobs::WorkerReport report;
@@ -94,6 +102,22 @@
   }
 
  private:
+  static jobs::DispatcherSettings SettingsWith(Switch pace) {
+    jobs::DispatcherSettings settings;
+    settings.worker_pace = pace;
+    return settings;
+  }
+
+  void Progress() {
+    std::uint32_t worker = 0;
+    for (auto& [name, runs] : runs_) {
+      const std::uint32_t gain = worker++ % kSlowEvery == 0 ? 1 : 2;
+      for (jobs::ListedRun& run : runs) {
+        run.percent = std::min(run.percent + gain, kMaxPercent);
+      }
+    }
+  }
+
   void Configure() {
     jobs::SiteConfiguration site;
     jobs::QueueConfiguration queue;
@@ -156,7 +180,7 @@
       return;
     }
     if (const auto* start = std::get_if<jobs::StartRun>(&order.what)) {
-      runs_[order.worker].push_back({start->task, start->run, "", 1});
+      runs_[order.worker].push_back({start->task, start->run, "", 0});
     }
     Apply(dispatcher_.Handle(
         jobs::OrderEnded{order.order, order.worker, jobs::OrderAccepted{}},
@@ -169,21 +193,25 @@
   std::map<jobs::WorkerName, std::vector<jobs::ListedRun>> runs_;
 };
 
-void Measure(std::size_t workers, int rounds) {
-  BusyCell cell(workers);
+void Measure(std::size_t workers, Switch pace, int rounds) {
+  BusyCell cell(workers, pace);
   double report = 0;
   double decision = 0;
   for (int i = 0; i < rounds; ++i) {
     report += cell.ReportAll();
     decision += cell.Decide();
   }
-  std::printf("%zu,%.2f,%.1f\n", workers, report / rounds, decision / rounds);
+  std::printf("%zu,%s,%.2f,%.1f\n", workers,
+              std::string(RowOf(kSwitchNames, pace).name).c_str(),
+              report / rounds, decision / rounds);
 }
 
 void Run(int rounds) {
-  std::printf("workers,report_us,decision_us\n");
+  std::printf("workers,worker_pace,report_us,decision_us\n");
   for (const std::size_t workers : {50, 100, 300, 540, 1000, 3000}) {
-    Measure(workers, rounds);
+    for (const Switch pace : {Switch::kOff, Switch::kOn}) {
+      Measure(workers, pace, rounds);
+    }
   }
 }
 
