Bound the wait of jobs whose value has passed

Cause: while more work waits than there is room for, a job that is older than three times its objective waits behind all newer work, for as long as this comes: 120 s and more in the new test (its limit). Change: from twice that age on, the oldest such step goes before all other work but that of priority 0 with value, one step at a time, and only after a decision that left work waiting. Rule in caller_cost.h, order in overdue_work.cc; `[decisions] caller_cost` switches it. DispatcherFixture takes settings. Tests: overload_test.cc plays random overload on and off (guarantees within their bound, no task runs twice, every accepted job completes) and the late job.

--- a/packages/jobs/src/dispatcher_impl.h
+++ b/packages/jobs/src/dispatcher_impl.h
@@ -18,6 +18,7 @@
 #include <vector>
 
 #include "evacuations.h"
+#include "jasminespar/jobs/caller_cost.h"
 #include "jasminespar/jobs/dispatcher.h"
 #include "jasminespar/jobs/worker_pace.h"
 #include "job_table.h"
@@ -322,6 +323,11 @@
   [[nodiscard]] std::vector<Offer> CheapestOffers(std::vector<Offer> offers,
                                                   std::uint32_t tasks) const;
 
+  // overdue_work.cc: a bounded wait for every job.
+  /// Puts the step that is overdue for longest before other work without a
+  /// guarantee.
+  static void MoveOverdueFirst(std::vector<WaitingStep>& waiting);
+
   [[nodiscard]] JobState* FindJob(const JobId& id);
   [[nodiscard]] StepState& StepOf(JobState& job, const TaskName& name) {
     return job.StepAt(name.occurrence, name.step);
@@ -361,6 +367,7 @@
   bool paces_changed_ = false;  ///< Since the last Refit.
   TimePoint next_refit_;
   UnplacedShapes unplaced_;  ///< Of the present decision only.
+  bool room_short_ = false;  ///< The previous decision left steps waiting.
   /// Accelerators that runs of priority 0 occupy.
   std::map<ClientAccountId, std::int64_t> urgent_use_;
   TimePoint worker_list_as_of_;
--- a/packages/jobs/src/starts.cc
+++ b/packages/jobs/src/starts.cc
@@ -9,9 +9,6 @@
 
 namespace {
 
-/// A job earns nothing once its age exceeds this multiple of its objective.
-constexpr int kNoValueFactor = 3;
-
 /// Bits of a run number that count the runs of one epoch.
 constexpr int kRunsPerEpochBits = 20;
 
@@ -41,9 +38,12 @@
   all_reconciled_ = all_reconciled_ || AllWorkersReconciled();
   usable_ = UsableWorkers(workers_, now.steady);
   unplaced_.Clear();
+  bool all_started = true;
   for (const WaitingStep& waiting : CollectWaitingSteps(now)) {
     TryStartStep(waiting, now);
+    all_started = all_started && !waiting.step->waiting();
   }
+  room_short_ = !all_started;
 }
 
 std::vector<WaitingStep> Dispatcher::Impl::CollectWaitingSteps(const Now& now) {
@@ -65,6 +65,8 @@
                      return std::tuple(a.no_value, a.priority, a.late, -a.age) <
                             std::tuple(b.no_value, b.priority, b.late, -b.age);
                    });
+  const bool weighs = settings_.caller_cost == Switch::kOn && room_short_;
+  if (weighs) MoveOverdueFirst(waiting);
   return waiting;
 }
 
