Stop in time what cannot end before its worker leaves

Cause: the time that a leaving worker has left was read only as "leaving", so that its runs were lost with it, also those that could have saved their state. Change: the time, and the clock at which an entry was written, are carried through. New module departures.{h,cc}, pure: a run that ends in time is left alone; one that saves its state is stopped when only the time of a stop and 400 ms are left; one that saves nothing and certainly cannot end is stopped at once; a gang is stopped whole. The expected end follows from the percents that reports showed, else from the estimate. A leaving worker is polled with a wait of 250 ms. Setting [decisions] departures; off: decisions as before. Hooks: one call in Decide, one each where entries and reports are handled. Ruled out: stopping all at the notice, which loses the work until the departure; entries at their word, which are seconds old for a new owner. After: test_jobs passes, 114 cases; test_fleet, 24 cases.

--- a/packages/jobs/include/jasminespar/jobs/messages.h
+++ b/packages/jobs/include/jasminespar/jobs/messages.h
@@ -263,9 +263,10 @@
   kRefused,
   kExpired,
   kEvacuated,
+  kWorkerLeaving,
 };
 
-inline constexpr NameTable<DecisionCause, 13> kDecisionCauseNames{{
+inline constexpr NameTable<DecisionCause, 14> kDecisionCauseNames{{
     {DecisionCause::kNone, "none", "No further cause."},
     {DecisionCause::kRoomFound, "room_found", "A worker has capacity for it."},
     {DecisionCause::kPreempted, "preempted", "A guarantee needs the capacity."},
@@ -284,6 +285,8 @@
      "The order waited too long in this instance and was not sent."},
     {DecisionCause::kEvacuated, "evacuated",
      "The operator empties the data centre of the worker."},
+    {DecisionCause::kWorkerLeaving, "worker_leaving",
+     "The worker leaves before the run can end."},
 }};
 static_assert(IsDense(kDecisionCauseNames));
 
--- a/packages/jobs/include/jasminespar/jobs/worker.h
+++ b/packages/jobs/include/jasminespar/jobs/worker.h
@@ -5,6 +5,7 @@
 #define JASMINESPAR_JOBS_WORKER_H_
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -31,6 +32,9 @@
   DataCentreId data_centre;
   Incarnation incarnation;
   bool leaving = false;  ///< It is shutting down; it gets no new work.
+  /// Shortest time until a leaving worker ends; nothing: unknown.
+  std::optional<Duration> time_left;
+  WorkerClock clock;  ///< When the entry was written; zero: unknown.
   Resources capacity;
   std::vector<std::string> labels;
   std::string rack;
@@ -59,6 +63,7 @@
   WorkerClock clock;
   Incarnation incarnation;
   bool leaving = false;
+  std::optional<Duration> time_left;  ///< As in WorkerEntry, at `clock`.
   std::vector<ListedRun> runs;
   std::vector<EndedRun> ends;  ///< Not yet acknowledged, oldest first.
   /// Whether it may have more ends, which it lists once these are acknowledged.
--- a/packages/jobs/src/dispatcher.cc
+++ b/packages/jobs/src/dispatcher.cc
@@ -40,6 +40,7 @@
     PollWorkers(now);
     for (auto& [name, worker] : workers_) RetryOrders(worker, now);
     StopStalledRuns(now);
+    StopDepartingRuns(now);
     StopIncompleteGangs(now);
     const bool list_current =
         now.steady - worker_list_as_of_ < kMaxWorkerListAge;
@@ -99,15 +100,20 @@
   }
   const bool began_to_leave = leaving && worker.listed && !worker.entry.leaving;
   const bool list_current = now.steady - worker_list_as_of_ < kMaxWorkerListAge;
-  if (!leaving) worker.leaving_since.reset();
+  if (!leaving) {
+    worker.leaving_since.reset();
+    worker.departs_at.reset();
+  }
   if (began_to_leave && list_current) worker.leaving_since = now.steady;
   const Incarnation known = worker.entry.incarnation;
+  const bool said_anew = listed.entry.time_left != worker.entry.time_left;
   worker.entry = std::move(listed.entry);
   // A new incarnation is applied from a report only: the report shows what
   // became of the runs of the previous one.
   if (known.value != 0) worker.entry.incarnation = known;
   worker.listed = true;
   worker.leaving = leaving;
+  if (said_anew) NoteTimeLeft(worker, worker.entry.time_left, now);
   worker.emptied = evacuations_.IsEmptied(worker.entry.data_centre);
   if (evacuations_.in_use()) {
     worker.cold_until = now.steady + worker.entry.cold_for;
--- a/packages/jobs/src/dispatcher_impl.h
+++ b/packages/jobs/src/dispatcher_impl.h
@@ -89,6 +89,14 @@
   /// Stops what the worker has not confirmed to run yet, and its gangs.
   void StopUnconfirmedStarts(WorkerState& worker, const Now& now);
 
+  // departures.cc: runs on workers that leave.
+  void NoteTimeLeft(WorkerState& worker, std::optional<Duration> left,
+                    const Now& now);
+  void StopDepartingRuns(const Now& now);
+  /// @return whether the run must be stopped because its worker leaves.
+  [[nodiscard]] bool MustDepart(const WorkerState& worker, const TaskName& name,
+                                const PlacedRun& placed, const Now& now);
+
   // queue_records.cc: configurations of queues, for jobs whose queue is
   // dropped.
   void On(ConfigurationChanged change, const Now& now);
--- a/packages/jobs/src/worker_polls.cc
+++ b/packages/jobs/src/worker_polls.cc
@@ -10,6 +10,9 @@
 /// A poll waits this long for a run to end; workers allow no more.
 constexpr Duration kPollWaitTimeout = 2s;
 
+/// The same for a worker that leaves: how far its runs are decides about them.
+constexpr Duration kDepartingPollWaitTimeout = 250ms;
+
 /// Between polls of a worker that runs nothing.
 constexpr Duration kIdlePollInterval = 2s;
 
@@ -38,7 +41,9 @@
     if (worker.polls_in_flight == 0 && now.steady >= worker.next_poll) {
       const bool at_once =
           !worker.clock || worker.placed_runs.empty() || uncommitted;
-      SendPoll(worker, at_once ? Duration{} : kPollWaitTimeout, now);
+      const Duration wait =
+          worker.departs_at ? kDepartingPollWaitTimeout : kPollWaitTimeout;
+      SendPoll(worker, at_once ? Duration{} : wait, now);
     } else if (worker.poll_soon && worker.polls_in_flight < kMaxPollsInFlight) {
       SendPoll(worker, Duration{}, now);
     }
@@ -85,6 +90,10 @@
     worker.clock_at = now.steady;
   }
   if (report.leaving) worker.leaving = true;
+  NoteTimeLeft(
+      worker,
+      report.time_left ? report.time_left : TimeLeftOf(worker, report.clock),
+      now);
   for (const EndedRun& end : report.ends) {
     if (end.number <= worker.processed_to) continue;
     worker.processed_to = end.number;
@@ -144,6 +153,7 @@
     HandleAcceptedStart(worker, confirmed, now);
   }
   ObserveProgress(worker, listed, placed, now);
+  placed.track.Record(listed.percent, now.steady);
   NoteProgress(placed, listed, now.steady);
 }
 
@@ -158,6 +168,7 @@
   placed.confirmed_at = now.steady;
   placed.progressed_at = now.steady;
   placed.reported_at = now.steady;
+  placed.track.Record(listed.percent, now.steady);
   placed.percent = listed.percent;
   placed.checkpoint = listed.checkpoint;
   placed.adopted = true;
--- a/packages/jobs/src/worker_pool.cc
+++ b/packages/jobs/src/worker_pool.cc
@@ -1,6 +1,7 @@
 #include "worker_pool.h"
 
 #include <algorithm>
+#include <chrono>
 
 namespace jasminespar::jobs {
 
@@ -19,6 +20,17 @@
                      [](const auto& entry) { return entry.second.stray; });
 }
 
+std::optional<Duration> TimeLeftOf(const WorkerState& worker,
+                                   WorkerClock clock) {
+  const WorkerEntry& entry = worker.entry;
+  if (!entry.leaving || !entry.time_left || entry.clock.value == 0 ||
+      clock < entry.clock) {
+    return std::nullopt;
+  }
+  const auto age = static_cast<std::int64_t>(clock.value - entry.clock.value);
+  return *entry.time_left - std::chrono::milliseconds(age);
+}
+
 bool IsUsable(const WorkerState& worker, TimePoint now) {
   return worker.listed && worker.enrolled && worker.reconciled &&
          !worker.leaving && !worker.emptied && !worker.silent &&
--- a/packages/jobs/src/worker_pool.h
+++ b/packages/jobs/src/worker_pool.h
@@ -11,6 +11,7 @@
 #include <string>
 #include <vector>
 
+#include "departures.h"
 #include "jasminespar/jobs/dispatcher.h"
 #include "jasminespar/jobs/messages.h"
 #include "pace_probe.h"
@@ -37,6 +38,7 @@
   /// When the worker accepted the stop.
   std::optional<TimePoint> stop_confirmed_at;
   std::uint32_t percent = 0;
+  RunProgressTrack track;
   std::string checkpoint;        ///< Latest that the worker reported.
   std::string start_checkpoint;  ///< The run resumes from it.
   TimePoint progressed_at;
@@ -64,6 +66,8 @@
   std::optional<TimePoint> leaving_since;
   bool enrolled = false;  ///< It is stored in the table, so it may get work.
   bool leaving = false;
+  /// When a leaving worker may end, at the earliest; nothing: unknown.
+  std::optional<TimePoint> departs_at;
   bool emptied = false;  ///< The operator empties its data centre.
   TimePoint cold_until;  ///< It runs slower, so it is used last.
   /// All its runs are known: it has reported to this owner and listed every
@@ -116,6 +120,11 @@
 /// A worker whose last answer is older gets no new work.
 inline constexpr Duration kMaxAnswerAge = 3500ms;
 
+/// @return time that a leaving worker has left, by its entry; nothing if the
+///     entry does not say at which time of the worker's clock it was written.
+[[nodiscard]] std::optional<Duration> TimeLeftOf(const WorkerState& worker,
+                                                 WorkerClock clock);
+
 /// @return whether new work may be placed on the worker.
 [[nodiscard]] bool IsUsable(const WorkerState& worker, TimePoint now);
 
--- a/tests/fleet/codec_test.cc
+++ b/tests/fleet/codec_test.cc
@@ -249,6 +249,33 @@
   CHECK(cold_for(R"("cold_remaining_ms":1e99,)") == 1h);
 }
 
+TEST_CASE("a leaving worker says how much time is left") {
+  const jobs::SendOrder poll = OrderOf(jobs::PollWorker{});
+  const auto report_of = [&](const std::string& member) {
+    return std::get<jobs::WorkerReport>(kCodec.worker.decode_response(
+        poll, ResponseOf(200, R"({"clock_ms":1)" + member + "}")));
+  };
+  CHECK_FALSE(report_of("").leaving);
+  CHECK_FALSE(report_of("").time_left);
+  CHECK(report_of(R"(,"drain_remaining_ms":1800)").time_left == 1800ms);
+  CHECK(report_of(R"(,"drain_remaining_ms":0)").time_left == 0ms);
+  // It leaves all the same.
+  CHECK(report_of(R"(,"drain_remaining_ms":"soon")").leaving);
+  CHECK_FALSE(report_of(R"(,"drain_remaining_ms":"soon")").time_left);
+
+  site::Row row;
+  row.key.key = "i-1";
+  const auto entry_of = [&](const std::string& state) {
+    row.value = R"({"service":"s","addr":"10.0.0.1:80","capacity":{"cpu":1},)"
+                R"("clock_ms":71,"drain_remaining_ms":1800.5,"state":")" +
+                state + "\"}";
+    return std::get<jobs::WorkerEntry>(kCodec.operators.decode_worker(row));
+  };
+  CHECK(entry_of("draining").time_left == 1800ms);
+  CHECK(entry_of("draining").clock.value == 71);
+  CHECK_FALSE(entry_of("ready").time_left);
+}
+
 TEST_CASE("decoding random bytes as any answer never throws") {
   std::mt19937 random(11);
   for (int i = 0; i < 2'000; ++i) {
