Do not use a worker whose row is being deleted

Cause: a worker counted as enrolled until the commit that deletes its row was answered, and for good if the platform's list named it again meanwhile. It could get work without a row, and a new owner would not wait for it. Change: it counts as not enrolled once that commit is sent, and is enrolled again before it gets work. A rejected deletion is tried again. Ruled out: enrolling it in the commit in flight (commits are not changed once sent). Before: enrolment_test "a worker that is listed again gets no work without a row" failed: a start was sent, and no row was stored afterwards. After: test_jobs passes, 112 cases.

--- a/packages/jobs/src/commits.cc
+++ b/packages/jobs/src/commits.cc
@@ -34,12 +34,9 @@
   for (const WorkerName& name : commit.departed) {
     const auto found = workers_.find(name);
     if (found == workers_.end() || found->second.listed) continue;
-    if (found->second.polls_in_flight == 0) {
-      paces_.Forget(name);
-      workers_.erase(found);
-    } else {
-      found->second.enrolled = false;
-    }
+    if (found->second.polls_in_flight > 0) continue;
+    paces_.Forget(name);
+    workers_.erase(found);
   }
   HandleQueuesCommitted(commit);
   for (auto& [name, worker] : workers_) {
@@ -72,6 +69,10 @@
     job->status_dirty = true;
     MarkDirty(*job, 0);
   }
+  for (const WorkerName& name : commit.departed) {
+    const auto found = workers_.find(name);
+    if (found != workers_.end()) found->second.enrolled = true;
+  }
   HandleQueuesRejected(commit);
   std::move(commit.forgotten.begin(), commit.forgotten.end(),
             std::back_inserter(to_forget_));
@@ -148,6 +149,9 @@
     if (RowsOf(commit) == kMaxCommitRows) return;
     if (HasDeparted(worker, now)) {
       commit.departed.push_back(name);
+      // From now on its row may be gone. If it comes back, it is enrolled
+      // again by a later commit before it gets work.
+      worker.enrolled = false;
     } else if (worker.listed && !worker.enrolled && !worker.leaving &&
                worker.clock) {
       // The next owner waits for enrolled workers, so an entry that no worker
--- a/tests/jobs/dispatcher_fixture.h
+++ b/tests/jobs/dispatcher_fixture.h
@@ -133,6 +133,11 @@
     }
   }
 
+  /// The table rejects the commit in flight.
+  void RejectCommit() {
+    Feed(CommitRejected{*std::exchange(unanswered_commit_, std::nullopt)});
+  }
+
   /// Ends a run at its worker; the next poll reports it.
   void End(const std::string& worker, const TaskName& task, RunNumber run,
            RunEnding ending) {
