Wait no longer than needed for workers that left as planned

Cause: unless the entry of a worker was deleted within 2.5 s after it began to drain, its runs counted as ended only when its lease was over, and its row was kept until then, also where nothing ran: what ran there started elsewhere after 8.5 to 12 s, and a new owner held old jobs for 10 to 13 s.

Change: the entry of a leaving worker that is deleted within 2.5 s of the worker's last answer cannot have expired by a cut from both of us; if two polls in a row then stay unanswered, the worker has exited. The list must have had no gap for as long as an entry takes to expire. Polls of a leaving worker wait for 0.5 s. The row of a leaving worker is deleted once its runs have ended and their ends are durable.

Ruled out: taking any deleted entry of a leaving worker for an exit (it may have expired behind a cut); a successor that concludes from the missing entry (the same).

--- a/packages/jobs/src/dispatcher.cc
+++ b/packages/jobs/src/dispatcher.cc
@@ -7,17 +7,6 @@
 
 namespace jasminespar::jobs {
 
-namespace {
-
-/// If the entry of a worker is removed within this time after it began to
-/// leave, the worker has ended. Later, the entry may only have expired: entries
-/// do so after 4.5 s without the worker, and its change is seen up to
-/// kMaxWorkerListAge late.
-constexpr Duration kLeavingEntryTimeout = 2500ms;
-static_assert(kLeavingEntryTimeout + kMaxWorkerListAge < 4500ms);
-
-}  // namespace
-
 void Dispatcher::Impl::FinishLoading(TimePoint now) {
   loaded_ = true;
   loaded_at_ = now;
@@ -118,6 +107,7 @@
   if (evacuations_.in_use()) {
     worker.cold_until = now.steady + worker.entry.cold_for;
   }
+  worker.entry_deleted_at.reset();
 }
 
 void Dispatcher::Impl::On(const WorkerUnlisted& unlisted, const Now& now) {
@@ -125,16 +115,12 @@
   if (found == workers_.end()) return;
   WorkerState& worker = found->second;
   worker.listed = false;
-  const bool deleted = unlisted.cause == UnlistedCause::kDeleted;
-  const std::optional<TimePoint> since = worker.leaving_since;
-  if (deleted && since && now.steady - *since < kLeavingEntryTimeout) {
-    worker.lease_expires_at = now.steady;
-    worker.silent = true;
-  }
+  if (unlisted.cause == UnlistedCause::kDeleted) NoteDeletedEntry(worker, now);
 }
 
-void Dispatcher::Impl::On(const WorkerListConfirmed& confirmed, const Now&) {
-  worker_list_as_of_ = std::max(worker_list_as_of_, confirmed.as_of);
+void Dispatcher::Impl::On(const WorkerListConfirmed& confirmed,
+                          const Now& now) {
+  NoteListConfirmed(confirmed.as_of, now);
 }
 
 void Dispatcher::Impl::On(const WorkerEnrolled& enrolled, const Now&) {
@@ -165,7 +151,7 @@
     if (const auto* report = std::get_if<WorkerReport>(&ended.outcome)) {
       HandleReport(worker, order, *report, now);
     } else {
-      HandleUnansweredPoll(worker, now);
+      HandleUnansweredPoll(worker, order, now);
     }
     return;
   }
--- a/packages/jobs/src/dispatcher_impl.h
+++ b/packages/jobs/src/dispatcher_impl.h
@@ -163,7 +163,8 @@
   /// Sends the polls that are due.
   void PollWorkers(const Now& now);
   void SendPoll(WorkerState& worker, Duration wait, const Now& now);
-  void HandleUnansweredPoll(WorkerState& worker, const Now& now);
+  void HandleUnansweredPoll(WorkerState& worker, const PendingOrder& poll,
+                            const Now& now);
   void HandleReport(WorkerState& worker, const PendingOrder& poll,
                     const WorkerReport& report, const Now& now);
   /// If the worker restarted, resets all that depended on its process.
@@ -183,6 +184,17 @@
   /// ones.
   void ExpireLeases(const Now& now);
 
+  // worker_exit.cc: workers that leave in an orderly way.
+  void NoteListConfirmed(TimePoint as_of, const Now& now);
+  /// Concludes from the deletion of the worker's entry that it has ended, if
+  /// the entry cannot have expired and the worker no longer answers.
+  void NoteDeletedEntry(WorkerState& worker, const Now& now);
+  void NoteUnansweredPoll(WorkerState& worker, const PendingOrder& poll,
+                          const Now& now);
+  static void NoteAnsweredPoll(WorkerState& worker, const PendingOrder& poll);
+  /// Nothing runs on the worker any more.
+  void HandleExit(WorkerState& worker, const Now& now);
+
   // stalled_runs.cc: runs without progress.
   /// Stops stalled runs and gives their workers no new work for a while.
   void StopStalledRuns(const Now& now);
@@ -379,6 +391,7 @@
   /// Accelerators that runs of priority 0 occupy.
   std::map<ClientAccountId, std::int64_t> urgent_use_;
   TimePoint worker_list_as_of_;
+  TimePoint list_current_since_;  ///< Without a gap.
   std::map<OrderNumber, PendingOrder> orders_;
   std::set<JobId> dirty_;
   std::vector<ForgottenJob> to_forget_;
--- a/packages/jobs/src/worker_polls.cc
+++ b/packages/jobs/src/worker_polls.cc
@@ -10,8 +10,13 @@
 /// A poll waits this long for a run to end; workers allow no more.
 constexpr Duration kPollWaitTimeout = 2s;
 
-/// The same for a worker that leaves: how far its runs are decides about them.
-constexpr Duration kDepartingPollWaitTimeout = 250ms;
+/// The same for a worker that leaves: its last answer tells whether it was
+/// there shortly before its entry was deleted.
+constexpr Duration kLeavingPollWait = 500ms;
+
+/// The same for a worker that leaves at a known time: how far its runs are
+/// decides about them.
+constexpr Duration kDepartingPollWait = 250ms;
 
 /// Between polls of a worker that runs nothing.
 constexpr Duration kIdlePollInterval = 2s;
@@ -28,6 +33,12 @@
 
 constexpr std::uint32_t kMaxPollsInFlight = 2;
 
+/// @return how long a poll of the worker waits for a run to end.
+Duration PollWaitOf(const WorkerState& worker) {
+  if (worker.departs_at) return kDepartingPollWait;
+  return worker.leaving ? kLeavingPollWait : kPollWaitTimeout;
+}
+
 }  // namespace
 
 void Dispatcher::Impl::PollWorkers(const Now& now) {
@@ -41,9 +52,7 @@
     if (worker.polls_in_flight == 0 && now.steady >= worker.next_poll) {
       const bool at_once =
           !worker.clock || worker.placed_runs.empty() || uncommitted;
-      const Duration wait =
-          worker.departs_at ? kDepartingPollWaitTimeout : kPollWaitTimeout;
-      SendPoll(worker, at_once ? Duration{} : wait, now);
+      SendPoll(worker, at_once ? Duration{} : PollWaitOf(worker), now);
     } else if (worker.poll_soon && worker.polls_in_flight < kMaxPollsInFlight) {
       SendPoll(worker, Duration{}, now);
     }
@@ -58,8 +67,10 @@
 }
 
 void Dispatcher::Impl::HandleUnansweredPoll(WorkerState& worker,
+                                            const PendingOrder& poll,
                                             const Now& now) {
   worker.next_poll = now.steady + kPollRetryDelay;
+  NoteUnansweredPoll(worker, poll, now);
   if (worker.silent || now.steady - worker.last_answer < kSilenceTimeout)
     return;
   worker.silent = true;
@@ -77,6 +88,7 @@
                       now.steady - worker.last_answer);
   }
   worker.last_answer = now.steady;
+  NoteAnsweredPoll(worker, poll);
   if (!worker.reconciled && !report.more_ends) {
     worker.reconciled = true;
     // The worker refuses orders of earlier owners from now on.
--- a/packages/jobs/src/worker_pool.cc
+++ b/packages/jobs/src/worker_pool.cc
@@ -39,8 +39,12 @@
 }
 
 bool HasDeparted(const WorkerState& worker, TimePoint now) {
-  return worker.enrolled && worker.reconciled && !worker.listed &&
-         worker.placed_runs.empty() && now >= worker.lease_expires_at;
+  if (!worker.enrolled || !worker.reconciled) return false;
+  if (!worker.placed_runs.empty()) return false;
+  if (worker.listed && worker.leaving) {
+    return worker.processed_to == worker.durable_to;
+  }
+  return !worker.listed && now >= worker.lease_expires_at;
 }
 
 bool IsSuited(const WorkerState& worker, const StepSpec& spec,
--- a/packages/jobs/src/worker_pool.h
+++ b/packages/jobs/src/worker_pool.h
@@ -64,6 +64,10 @@
   /// When its entry began to say that it leaves; nothing if that was not seen
   /// soon after.
   std::optional<TimePoint> leaving_since;
+  /// When its entry was deleted although it had answered shortly before, as it
+  /// was leaving; nothing once it has certainly left.
+  std::optional<TimePoint> entry_deleted_at;
+  std::uint32_t unanswered_polls = 0;  ///< Since its last answer.
   bool enrolled = false;  ///< It is stored in the table, so it may get work.
   bool leaving = false;
   /// When a leaving worker may end, at the earliest; nothing: unknown.
@@ -128,9 +132,10 @@
 /// @return whether new work may be placed on the worker.
 [[nodiscard]] bool IsUsable(const WorkerState& worker, TimePoint now);
 
-/// @return whether the worker may be deleted from the table: the platform no
-///     longer lists it, and every run that it was
-///     ordered to start has ended.
+/// @return whether the worker may be deleted from the table: it leaves, or the
+///     platform no longer lists it, and every run that it was ordered to start
+///     has ended, which is durable. A worker that leaves is never ordered to
+///     start anything.
 [[nodiscard]] bool HasDeparted(const WorkerState& worker, TimePoint now);
 
 /// @return whether the worker has the service and label that a step requires.
