Store a cancellation of an unknown job too

Cause: a cancel of a job that no instance knew was answered 410 and left nothing behind. An instance that was frozen with the job's acceptance stored it later, and it ran. Change: the cancellation is stored before the 410; the owner, which already keeps cancellations that it reads before their job, cancels the job as it is read. It deletes the row if the job does not come within status_retention. Instances forget such a cancellation with its row. Ruled out: a condition on the acceptance (its conflict means "stored" today, also for lost answers). The fixture of job_front_test records rows written; no existing case changed.

--- a/packages/jobs/src/commits.cc
+++ b/packages/jobs/src/commits.cc
@@ -200,6 +200,11 @@
     to_forget_.push_back(std::move(forgotten));
     return true;
   });
+  std::erase_if(cancelled_early_, [&](const auto& entry) {
+    if (now.steady - entry.second < settings_.status_retention) return false;
+    to_forget_.push_back({entry.first, {}});
+    return true;
+  });
 }
 
 }  // namespace jasminespar::jobs
--- a/packages/jobs/src/dispatcher.cc
+++ b/packages/jobs/src/dispatcher.cc
@@ -70,8 +70,9 @@
 void Dispatcher::Impl::On(const JobCancelled& cancelled, const Now& now) {
   JobState* job = FindJob(cancelled.job);
   if (job == nullptr) {
-    // Jobs and cancellations are read separately, and either may be behind.
-    cancelled_early_.insert(cancelled.job);
+    // Jobs and cancellations are read separately, and either may be behind; or
+    // the job's acceptance is still under way.
+    cancelled_early_.try_emplace(cancelled.job, now.steady);
     return;
   }
   if (!job->live()) return;
--- a/packages/jobs/src/dispatcher_impl.h
+++ b/packages/jobs/src/dispatcher_impl.h
@@ -132,8 +132,8 @@
   void CommitWorkers(Commit& commit, TimePoint now);
   /// Commits changes, unless a commit is still in flight.
   void SendCommit(const Now& now);
-  /// Removes ended jobs after their retention and marks their rows for
-  /// deletion.
+  /// Removes ended jobs, and cancellations whose job never came, after their
+  /// retention and marks their rows for deletion.
   void ForgetOldJobs(const Now& now);
 
   // orders.cc: orders to workers and their answers.
@@ -378,8 +378,9 @@
   std::map<QueueId, QueueRecord> queues_to_record_;
   TimePoint next_queue_check_;
   std::map<JobId, JobState> jobs_;
-  std::set<JobId> live_;             ///< Jobs that have not ended.
-  std::set<JobId> cancelled_early_;  ///< Cancelled before they were loaded.
+  std::set<JobId> live_;  ///< Jobs that have not ended.
+  /// Jobs that were cancelled before they were loaded, and since when.
+  std::map<JobId, TimePoint> cancelled_early_;
   WorkerMap workers_;
   /// Workers that new work may be placed on; of the present decision only.
   std::vector<WorkerState*> usable_;
--- a/packages/jobserver/include/jasminespar/jobserver/job_front.h
+++ b/packages/jobserver/include/jasminespar/jobserver/job_front.h
@@ -73,6 +73,7 @@
   void On(const StatusUpdate& update);
   void On(const StatusDeleted& deleted);
   void On(const CancellationFound& found);
+  void On(const CancellationDeleted& deleted);
   void On(const StatusesLoaded&);
   void On(WriteCompleted& completed);
   void On(ReadCompleted& completed);
--- a/packages/jobserver/include/jasminespar/jobserver/messages.h
+++ b/packages/jobserver/include/jasminespar/jobserver/messages.h
@@ -39,6 +39,10 @@
 struct CancellationFound {
   jobs::JobId job;
 };
+/// The table no longer holds a cancellation of the job.
+struct CancellationDeleted {
+  jobs::JobId job;
+};
 /// Sent after the last of the statuses that a complete read of the table found.
 struct StatusesLoaded {};
 /// Outcome of a WriteRows.
@@ -67,10 +71,11 @@
 /// answers every request that arrives.
 struct DrainFront {};
 
-using ToFront = std::variant<ConfigurationUpdate, StatusUpdate, StatusDeleted,
-                             CancellationFound, StatusesLoaded, WriteCompleted,
-                             ReadCompleted, TableReachable,
-                             PeerUnsettledSubmissions, DrainFront>;
+using ToFront =
+    std::variant<ConfigurationUpdate, StatusUpdate, StatusDeleted,
+                 CancellationFound, CancellationDeleted, StatusesLoaded,
+                 WriteCompleted, ReadCompleted, TableReachable,
+                 PeerUnsettledSubmissions, DrainFront>;
 
 // ---- To the dispatch duty ----
 
--- a/packages/jobserver/src/job_front.cc
+++ b/packages/jobserver/src/job_front.cc
@@ -121,6 +121,11 @@
   cancelled_.insert(found.job);
 }
 
+void JobFront::On(const CancellationDeleted& deleted) {
+  // A known job's status is deleted later, and with it this.
+  if (!HasStatus(deleted.job)) cancelled_.erase(deleted.job);
+}
+
 void JobFront::On(const StatusesLoaded&) { statuses_loaded_ = true; }
 
 void JobFront::On(WriteCompleted& completed) {
@@ -325,14 +330,13 @@
 
 JobFront::AsyncResponse JobFront::Cancel(Call call, jobs::JobId id) {
   const std::optional<bool> found = co_await FindStatus(id, call.deadline);
-  if (found && !*found) {
-    co_return Refuse(Reason::kUnknownJob, id, "cancel", call.arrived);
-  }
   if (!found) {
     co_return Refuse(Reason::kOutcomeUnknown, id,
                      "status row could not be read", call.arrived);
   }
-  if (jobs::IsFinal(PhaseOf(id))) co_return http::Response{};
+  if (*found && jobs::IsFinal(PhaseOf(id))) co_return http::Response{};
+  // Stored for an unknown job too: its acceptance may be under way at another
+  // instance. The owner deletes the row if the job never comes.
   site::Transaction transaction;
   transaction.writes.push_back({CancellationKey(id), "", {}});
   const WriteOutcome outcome =
@@ -344,6 +348,9 @@
         Event::kCancellationAccepted,
         {{"id", id.value},
          {"took_ms", ToMilliseconds(runtime::SteadyNow() - call.arrived)}});
+    if (!HasStatus(id)) {
+      co_return Refuse(Reason::kUnknownJob, id, "cancel", call.arrived);
+    }
     co_return JsonResponse(codec_.caller.encode_phase(PhaseOf(id)));
   }
   co_return Refuse(ReasonOf(outcome), id, "cancel", call.arrived);
--- a/packages/jobserver/src/store_watches.cc
+++ b/packages/jobserver/src/store_watches.cc
@@ -165,8 +165,10 @@
   };
   watch.on_row = [this](const site::Row& row) { HandleStatusRow(row); };
   watch.on_loaded = [this](const std::set<std::string>& keys) {
-    std::erase_if(cancelled_, [&keys](const std::string& job) {
-      return !keys.contains(std::string(kCancellationPrefix) + job);
+    std::erase_if(cancelled_, [&](const std::string& job) {
+      if (keys.contains(std::string(kCancellationPrefix) + job)) return false;
+      rings_.front.Send(CancellationDeleted{{job}});
+      return true;
     });
     rings_.front.Send(StatusesLoaded{});
   };
@@ -305,6 +307,7 @@
     const std::string job = row.key.key.substr(kCancellationPrefix.size());
     if (row.deleted) {
       cancelled_.erase(job);
+      rings_.front.Send(CancellationDeleted{{job}});
       return;
     }
     if (!cancelled_.insert(job).second) return;
--- a/tests/jobserver/job_front_test.cc
+++ b/tests/jobserver/job_front_test.cc
@@ -94,8 +94,23 @@
   http::Response Submit(const std::string& body = kJobBody,
                         const std::string& key = "good-key",
                         const std::string& path = kJobPath) {
+    return Send("POST", body, key, path);
+  }
+
+  http::Response Cancel() { return Send("DELETE", "", "good-key", kJobPath); }
+
+  /// @return the keys of all rows written so far.
+  std::vector<std::string> written() {
+    std::vector<std::string> keys;
+    RunOnTableDuty([this, &keys] { keys = written_; });
+    return keys;
+  }
+
+ private:
+  http::Response Send(const std::string& method, const std::string& body,
+                      const std::string& key, const std::string& path) {
     http::Request request;
-    request.method = "POST";
+    request.method = method;
     request.target = path;
     request.headers = {{"Host", "pairs.example"},
                        {"Authorization", "Token " + key},
@@ -109,7 +124,6 @@
     return response.get();
   }
 
- private:
   static JobFrontSettings Settings(std::uint16_t port) {
     JobFrontSettings settings;
     settings.callers = {"127.0.0.1", port};
@@ -131,6 +145,9 @@
     std::visit(
         Overloaded{
             [this](WriteRows& write) {
+              for (const site::Row& row : write.transaction.writes) {
+                written_.push_back(row.key.key);
+              }
               to_front_.Send(WriteCompleted{write.number, write_outcome_});
             },
             [this](ReadRow& read) {
@@ -151,6 +168,7 @@
   JobFront front_;
   site::TableOutcome write_outcome_ = site::Committed{};
   std::vector<jobs::JobId> published_unsettled_;
+  std::vector<std::string> written_;
 };
 
 TEST_CASE("a job is accepted once the table has stored it, also when resent") {
@@ -189,6 +207,26 @@
   CHECK(fixture.published_unsettled().empty());
 }
 
+TEST_CASE("a cancellation holds against an acceptance under way") {
+  // Shown by the review: 410, and nothing in the table, while an instance that
+  // was frozen had yet to store the job.
+  FrontFixture fixture;
+  CHECK(fixture.Cancel().status == 410);
+  CHECK(fixture.written() == std::vector<std::string>{"x5c0e7a21d94b36f8"});
+  // It is accepted after all, and shown as cancelled.
+  const http::Response late = fixture.Submit();
+  CHECK(late.status == 200);
+  CHECK(late.body.find("cancelled") != std::string::npos);
+}
+
+TEST_CASE("a cancellation that was not stored is not acknowledged") {
+  FrontFixture fixture;
+  fixture.SetWriteOutcome(site::Refused{});
+  CHECK(fixture.Cancel().status == 503);
+  fixture.SetWriteOutcome(site::NoAnswer{});
+  CHECK(fixture.Cancel().status == 504);
+}
+
 TEST_CASE("requests that the configuration does not allow are refused") {
   FrontFixture fixture;
   CHECK(fixture.Submit(kJobBody, "other-key").status == 401);
