Pass the candidates of a gang without a move that copies

Cause: left over from joining the pace of workers with cold workers: PlaceGang takes its candidates by reference. Change: no std::move.

--- a/packages/jobs/src/pace_placement.cc
+++ b/packages/jobs/src/pace_placement.cc
@@ -5,7 +5,6 @@
 #include <iterator>
 #include <limits>
 #include <string>
-#include <utility>
 
 namespace jasminespar::jobs {
 
@@ -122,7 +121,7 @@
                    return slowness >= from && slowness <= to;
                  });
     if (!HasRoom(chosen)) return {};
-    Workers workers = PlaceGang(std::move(chosen), request_);
+    Workers workers = PlaceGang(chosen, request_);
     if (workers.empty()) return {};
     const double time = TimeOn(workers, *request_.spec);
     if (time > longest || CountOpened(workers) > opened) return {};
