--- a/packages/jobs/include/jasminespar/jobs/dispatcher.h
+++ b/packages/jobs/include/jasminespar/jobs/dispatcher.h
@@ -27,7 +27,7 @@
   /// on; zero: the operator empties none.
   Duration evacuate_within{};
   Switch worker_pace = Switch::kOn;  ///< Use how fast workers run tasks.
-  Switch caller_cost = Switch::kOn;  ///< Weigh what delays cost callers.
+  Switch caller_cost = Switch::kOn;  ///< Bound the wait of late jobs.
   Switch departures = Switch::kOn;   ///< Use the time left of leaving workers.
 };
 
--- a/packages/settings/include/jasminespar/settings/job_server_settings.h
+++ b/packages/settings/include/jasminespar/settings/job_server_settings.h
@@ -44,7 +44,7 @@
   Duration evacuate_within{};
 
   Switch worker_pace = Switch::kOn;  ///< Decisions use the pace of workers.
-  Switch caller_cost = Switch::kOn;  ///< They weigh what delays cost callers.
+  Switch caller_cost = Switch::kOn;  ///< They bound the wait of late jobs.
   Switch departures = Switch::kOn;   ///< They use notices of departure.
 
   /// Time between the request to stop and the kill of the process.
--- a/packages/settings/src/job_server_settings.cc
+++ b/packages/settings/src/job_server_settings.cc
@@ -200,7 +200,7 @@
      kDefaulted,
      "on",
      {},
-     "Whether decisions weigh what delays and refusals cost callers.",
+     "Whether a job whose value passed long ago goes before newer work.",
      [](Settings& s) -> Switch& { return s.caller_cost; }},
     {"decisions",
      "departures",
