--- a/review/standins-2/world.cc
+++ b/review/standins-2/world.cc
@@ -902,6 +902,7 @@
   const auto address = [](int port) {
     return "127.0.0.1:" + std::to_string(port);
   };
+  const char* status = std::getenv("REVIEW_STATUS_S");
   file << "[instance]\nid = " << name << "\ndata_centre = " << zone
        << "\nmemory = 260MiB\n\n[listen]\ncallers = " << address(callers)
        << "\nreadiness = " << address(readiness)
@@ -909,7 +910,9 @@
        << "\n\n[table]\naddress = " << address(store_port)
        << "\nmax_row = 65536B\n\n[workers]\nmax_lease = 10000ms\n"
           "resume_delay = 250ms\nstop_limit = 900ms\n\n[jobs]\n"
-          "status_retention = 120s\nreclaim_within = 3400ms\n\n"
+          "status_retention = "
+       << (status == nullptr ? "120" : status)
+       << "s\nreclaim_within = 3400ms\n\n"
           "[process]\nshutdown_grace = 6s\n";
 }
 
