--- a/review/standins-2/world.cc
+++ b/review/standins-2/world.cc
@@ -605,6 +605,7 @@
 
 void Runner::Crash(std::int64_t entry_ms, bool silent) {
   std::uint64_t life = 0;
+  if (silent) server_->Crash(true);  // Before a waiting answer ends.
   {
     const std::lock_guard<std::mutex> lock(all_.mutex);
     up_ = false;
@@ -733,6 +734,10 @@
   }
   std::unique_lock<std::mutex> lock(all_.mutex);
   Response response;
+  if (life != life_ || !up_) {
+    response.lose = true;
+    return response;
+  }
   const auto instance = request.headers.find("expect-instance");
   const auto fence = body.value("fence", std::uint64_t{0});
   if (instance != request.headers.end() && instance->second != id_) {
