--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -6,5 +6,5 @@
 mkdir -p bin
 for program in overtaken_report restarted_runner forgotten_jobs lasting_task; do
   "${CXX:-c++}" -std=c++20 -O1 -Wall -Wextra -pthread -o "bin/$program" \
-    "$program.cc" world.cc
+    "$program.cpp" world.cpp
 done
--- a/review/standins-2/forgotten_jobs.cc
+++ b/review/standins-2/forgotten_jobs.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <atomic>
 
-#include "world.h"
+#include "world.hpp"
 
 using namespace review;
 
--- a/review/standins-2/lasting_task.cc
+++ b/review/standins-2/lasting_task.cpp
@@ -1,7 +1,7 @@
 // Case 9: a runner crashes for good; its lasting task stays away for long.
 #include <algorithm>
 
-#include "world.h"
+#include "world.hpp"
 
 using namespace review;
 
--- a/review/standins-2/overtaken_report.cc
+++ b/review/standins-2/overtaken_report.cpp
@@ -1,7 +1,7 @@
 // Case 6: an answer of a runner is overtaken by a later one.
 #include <iostream>
 
-#include "world.h"
+#include "world.hpp"
 
 using namespace review;
 
--- a/review/standins-2/restarted_runner.cc
+++ b/review/standins-2/restarted_runner.cpp
@@ -2,7 +2,7 @@
 // among those of its earlier life.
 #include <algorithm>
 
-#include "world.h"
+#include "world.hpp"
 
 using namespace review;
 
--- a/review/standins-2/world.cc
+++ b/review/standins-2/world.cpp
@@ -1,4 +1,4 @@
-#include "world.h"
+#include "world.hpp"
 
 #include <arpa/inet.h>
 #include <fcntl.h>
--- a/review/standins-2/world.h
+++ b/review/standins-2/world.hpp
@@ -3,8 +3,8 @@
 // The instances under test are separate processes, started with the command of
 // the deploy file. One thread serves each connection.
 
-#ifndef REVIEW_STANDINS_2_WORLD_H_
-#define REVIEW_STANDINS_2_WORLD_H_
+#ifndef REVIEW_STANDINS_2_WORLD_HPP_
+#define REVIEW_STANDINS_2_WORLD_HPP_
 
 #include <sys/types.h>
 
@@ -245,4 +245,4 @@
 
 }  // namespace review
 
-#endif  // REVIEW_STANDINS_2_WORLD_H_
+#endif  // REVIEW_STANDINS_2_WORLD_HPP_
