--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -3,5 +3,5 @@
 folder=$(cd "$(dirname "$0")" && pwd)
 cd "$folder/../.." || exit 2
 [ -x target/apps/jasmined ] || exit 2
-[ -x review/standins-2/bin/lasting_task ] || exit 2
-exec review/standins-2/bin/lasting_task "$folder/record.txt"
+[ -x review/standins-2/bin/cut_while_leaving ] || exit 2
+exec review/standins-2/bin/cut_while_leaving "$folder/record.txt"
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,7 +4,8 @@
 set -e
 cd "$(dirname "$0")/standins-2"
 mkdir -p bin
-for program in overtaken_report restarted_runner forgotten_jobs lasting_task; do
+for program in overtaken_report restarted_runner forgotten_jobs \
+  cut_while_leaving lasting_task; do
   "${CXX:-c++}" -std=c++20 -O1 -Wall -Wextra -pthread -o "bin/$program" \
     "$program.cpp" world.cpp
 done
--- a/review/standins-2/lasting_task.cpp
+++ b/review/standins-2/lasting_task.cpp
@@ -1,4 +1,5 @@
-// Case 9: a runner crashes for good; its lasting task stays away for long.
+// Beyond the five: a runner crashes for good; its lasting task stays away for
+// long.
 #include <algorithm>
 
 #include "world.hpp"
--- a/review/standins-2/world.cpp
+++ b/review/standins-2/world.cpp
@@ -19,6 +19,7 @@
 #include <filesystem>
 #include <fstream>
 #include <iostream>
+#include <random>
 #include <stdexcept>
 
 namespace review {
@@ -554,7 +555,7 @@
       if (quit_) return;
       if (!up_) continue;
       Tick();
-      if (NowMs() < next_beat) continue;
+      if (NowMs() < next_beat || cut_from_store) continue;
       next_beat = NowMs() + kHeartbeatMs;
       ++seq_;
       const Json entry = Entry();
@@ -861,12 +862,19 @@
 // Instances.
 
 int FreePort() {
+  // Below the ports that the system gives to connections, so that none of these
+  // takes it before the instance does.
   static std::set<int> given;
+  static std::mt19937 random{std::random_device{}()};
   while (true) {
-    const int listener = Listen(0);
-    const int port = PortOf(listener);
-    close(listener);
-    if (given.insert(port).second) return port;
+    const int port = std::uniform_int_distribution<int>(12'000, 30'000)(random);
+    if (!given.insert(port).second) continue;
+    try {
+      close(Listen(port));
+      return port;
+    } catch (const std::runtime_error&) {
+      continue;
+    }
   }
 }
 
--- a/review/standins-2/world.hpp
+++ b/review/standins-2/world.hpp
@@ -8,6 +8,7 @@
 
 #include <sys/types.h>
 
+#include <atomic>
 #include <chrono>
 #include <condition_variable>
 #include <cstdint>
@@ -170,6 +171,8 @@
   /// Ends a run now. The lock must be held.
   void EndRun(const std::string& task, const std::string& how);
   std::uint64_t holds = 0;
+  /// It doesn't reach the store.
+  std::atomic<bool> cut_from_store{false};
 
  private:
   struct Run {
