--- a/review/standins-2/cut_while_leaving.cpp
+++ b/review/standins-2/cut_while_leaving.cpp
@@ -12,7 +12,9 @@
 constexpr const char* kJob = "00000000000000a1";
 constexpr std::int64_t kLeftMs = 9'500;      // Of the drain, at least.
 constexpr std::int64_t kExpiryMs = 4'500;    // Three heartbeat intervals.
-constexpr std::int64_t kCutAfterMs = 4'000;  // Of the instances, after the store.
+constexpr std::int64_t kStoreCutAfterMs = 800;  // All after the drain began.
+constexpr std::int64_t kStoreCutForMs = 5'000;
+constexpr std::int64_t kCutAfterMs = 4'000;  // Of the instances.
 constexpr std::int64_t kCutForMs = 3'000;
 
 void Run() {
@@ -21,11 +23,7 @@
   Runners runners;
   runners.work_ms = [](const std::string&, std::uint64_t) { return 9'500; };
   store.Put("op", "config", Configuration(1));
-  std::vector<std::unique_ptr<Runner>> all;
-  for (const char* id : {"i-runner-a", "i-runner-b", "i-runner-c"}) {
-    all.push_back(std::make_unique<Runner>(runners, store, id, "service-1",
-                                           "kind-a", "r1-1"));
-  }
+  const auto all = TwelveRunners(runners, store);
   Instance one("node-1", "zone-a", store.port(), folder);
   Instance two("node-2", "zone-a", store.port(), folder);
   const auto finish = [&](int result) { Finish(result, {&one, &two}); };
@@ -68,15 +66,19 @@
   };
   leaving->Drain(kLeftMs);
   if (Trouble()) {
+    SleepMs(kStoreCutAfterMs);
     leaving->cut_from_store = true;
     Record(leaving->id() + " no longer reaches the store");
-    SleepMs(kCutAfterMs);
+    SleepMs(kCutAfterMs - kStoreCutAfterMs);
     cut_until = NowMs() + kCutForMs;
     cut = true;
     Record(leaving->id() + " no longer reaches the instances");
     SleepMs(kExpiryMs - kCutAfterMs);
     store.Delete("servers", leaving->id());
     Record("the platform removes its entry, after three intervals of silence");
+    SleepMs(kStoreCutAfterMs + kStoreCutForMs - kExpiryMs);
+    leaving->cut_from_store = false;
+    Record(leaving->id() + " reaches the store again");
     SleepMs(cut_until - NowMs());
     cut = false;
     Record(leaving->id() + " reaches the instances again");
--- a/review/standins-2/forgotten_jobs.cpp
+++ b/review/standins-2/forgotten_jobs.cpp
@@ -28,11 +28,7 @@
   Runners runners;
   runners.work_ms = [](const std::string&, std::uint64_t) { return 100; };
   store.Put("op", "config", Configuration(1));
-  std::vector<std::unique_ptr<Runner>> all;
-  for (const char* id : {"i-runner-a", "i-runner-b", "i-runner-c"}) {
-    all.push_back(std::make_unique<Runner>(runners, store, id, "service-1",
-                                           "kind-a", "r1-1"));
-  }
+  const auto all = TwelveRunners(runners, store);
   std::atomic<bool> slow{false};
   store.after = [&](const Request&, Response& response) {
     if (slow) response.hold_back_ms = kSlowMs;
--- a/review/standins-2/lasting_task.cpp
+++ b/review/standins-2/lasting_task.cpp
@@ -18,11 +18,7 @@
   Runners runners;
   runners.work_ms = [](const std::string&, std::uint64_t) { return 3'600'000; };
   store.Put("op", "config", Configuration(1));
-  std::vector<std::unique_ptr<Runner>> all;
-  for (const char* id : {"i-runner-a", "i-runner-b", "i-runner-c"}) {
-    all.push_back(std::make_unique<Runner>(runners, store, id, "service-1",
-                                           "kind-a", "r1-1"));
-  }
+  const auto all = TwelveRunners(runners, store);
   Instance one("node-1", "zone-a", store.port(), folder);
   Instance two("node-2", "zone-a", store.port(), folder);
   const auto finish = [&](int result) { Finish(result, {&one, &two}); };
@@ -62,7 +58,7 @@
   const std::int64_t again =
       runners.seen.size() > 1 ? runners.seen[1].from_ms : NowMs();
   Record("the lasting task was away for " + std::to_string(again - ended) +
-         " ms beside two idle runners");
+         " ms beside idle runners");
   if (again - ended > kAfterLastRunMs + kForMs) {
     Record("LOST is broken");
     finish(1);
--- a/review/standins-2/overtaken_report.cpp
+++ b/review/standins-2/overtaken_report.cpp
@@ -28,9 +28,8 @@
   Runners runners;
   runners.work_ms = [](const std::string&, std::uint64_t) { return 4000; };
   store.Put("op", "config", Configuration(1));
-  Runner a(runners, store, "i-runner-a", "service-1", "kind-a", "r1-1");
-  Runner b(runners, store, "i-runner-b", "service-1", "kind-b", "r1-1");
-  Runner c(runners, store, "i-runner-c", "service-1", "kind-a", "r1-2");
+  const auto all = TwelveRunners(runners, store);
+  Runner& b = *all.back();
   // X's first run fails by its own fault; all others are sound. The runner of
   // kind-b refuses one start with 503, as an unhealthy runner may.
   bool refused = false;
--- a/review/standins-2/restarted_runner.cpp
+++ b/review/standins-2/restarted_runner.cpp
@@ -32,9 +32,8 @@
     return task.starts_with(kLong) ? 8000 : 700;
   };
   store.Put("op", "config", Configuration(1));
-  Runner a(runners, store, "i-runner-a", "service-1", "kind-a", "r1-1");
-  Runner b(runners, store, "i-runner-b", "service-1", "kind-b", "r1-1");
-  Runner c(runners, store, "i-runner-c", "service-1", "kind-a", "r1-2");
+  const auto all = TwelveRunners(runners, store);
+  Runner& b = *all.back();
   std::uint64_t waiting_holds = 0;
   b.before = [&](const Request& request, const Json& body)
       -> std::optional<Response> {
--- a/review/standins-2/world.cpp
+++ b/review/standins-2/world.cpp
@@ -548,15 +548,15 @@
       rack_(std::move(rack)) {
   Begin();
   ticker_ = std::thread([this] {
-    std::int64_t next_beat = NowMs();
     while (true) {
       SleepMs(5);
       std::unique_lock<std::mutex> lock(all_.mutex);
       if (quit_) return;
       if (!up_) continue;
       Tick();
-      if (NowMs() < next_beat || cut_from_store) continue;
-      next_beat = NowMs() + kHeartbeatMs;
+      if (NowMs() < next_beat_) continue;
+      next_beat_ = NowMs() + kHeartbeatMs;
+      if (cut_from_store) continue;
       ++seq_;
       const Json entry = Entry();
       lock.unlock();
@@ -646,6 +646,7 @@
     const std::lock_guard<std::mutex> lock(all_.mutex);
     state_ = "draining";
     drain_until_ = NowMs() + left_ms;
+    next_beat_ = NowMs() + kHeartbeatMs;
     ++seq_;
     entry = Entry();
   }
@@ -859,6 +860,18 @@
   return JsonResponse(200, answer);
 }
 
+std::vector<std::unique_ptr<Runner>> TwelveRunners(Runners& all, Store& store) {
+  constexpr int kRunners = 12;
+  std::vector<std::unique_ptr<Runner>> runners;
+  for (int i = 1; i <= kRunners; ++i) {
+    const std::string number = (i < 10 ? "0" : "") + std::to_string(i);
+    runners.push_back(std::make_unique<Runner>(
+        all, store, "i-runner-" + number, "service-1",
+        i == kRunners ? "kind-b" : "kind-a", i <= 6 ? "r1-1" : "r1-2"));
+  }
+  return runners;
+}
+
 // Instances.
 
 int FreePort() {
--- a/review/standins-2/world.hpp
+++ b/review/standins-2/world.hpp
@@ -207,10 +207,15 @@
   std::map<std::string, Run> runs_;
   std::map<std::string, std::uint64_t> highest_ended_;
   std::deque<Json> ends_;
+  std::int64_t next_beat_ = 0;
   bool up_ = false, quit_ = false;
   std::thread ticker_;
 };
 
+/// Twelve runners of service-1, six a rack, i-runner-01 to i-runner-12. Only the
+/// last one is of kind-b: one of twelve is within each share that the pages set.
+std::vector<std::unique_ptr<Runner>> TwelveRunners(Runners& all, Store& store);
+
 /// One instance of the system.
 class Instance {
  public:
