--- a/packages/jobs/include/jasminespar/jobs/messages.h
+++ b/packages/jobs/include/jasminespar/jobs/messages.h
@@ -200,6 +200,7 @@
   kRunLost,
   kReclaimPostponed,
   kReportPartial,
+  kReportOvertaken,
   kCommitSplit,
   kCheckpointNotStored,
   kDataCentreEmptied,
@@ -208,7 +209,7 @@
   kPacesAlike,
 };
 
-inline constexpr NameTable<DecisionKind, 23> kDecisionNames{{
+inline constexpr NameTable<DecisionKind, 24> kDecisionNames{{
     {DecisionKind::kStart, "start", "A start was ordered."},
     {DecisionKind::kStop, "stop", "A stop was ordered."},
     {DecisionKind::kRunEnded, "run_ended", "A worker reported an ended run."},
@@ -233,6 +234,8 @@
      "Preemption would discard too much work for now."},
     {DecisionKind::kReportPartial, "report_partial",
      "A worker has more ended runs than its report holds."},
+    {DecisionKind::kReportOvertaken, "report_overtaken",
+     "A report arrived after a later one, and is ignored."},
     {DecisionKind::kCommitSplit, "commit_split",
      "The table rejected a commit, so smaller ones follow."},
     {DecisionKind::kCheckpointNotStored, "checkpoint_not_stored",
--- a/packages/jobs/src/dispatcher_impl.h
+++ b/packages/jobs/src/dispatcher_impl.h
@@ -61,6 +61,7 @@
 
  private:
   struct PendingOrder {
+    OrderNumber number;
     WorkerName worker;
     TaskName task;  ///< Unset for a poll.
     RunNumber run;
--- a/packages/jobs/src/orders.cc
+++ b/packages/jobs/src/orders.cc
@@ -21,6 +21,7 @@
 void Dispatcher::Impl::Send(WorkerState& worker, PendingOrder pending,
                             WorkerOrder what, const Now& now) {
   const OrderNumber number{++last_order_};
+  pending.number = number;
   pending.worker = worker.entry.name;
   pending.sent_at = now.steady;
   // A stop renews no lease. Nor does any order to a silent worker: its lease
--- a/packages/jobs/src/worker_polls.cc
+++ b/packages/jobs/src/worker_polls.cc
@@ -82,6 +82,15 @@
                                     const PendingOrder& poll,
                                     const WorkerReport& report,
                                     const Now& now) {
+  if (!worker.reports.IsNewer(poll.number, report)) {
+    // What it says is older than what is known. It may also be of an unknown
+    // process, so the worker is polled again.
+    worker.poll_soon = true;
+    LogWorkerDecision(DecisionKind::kReportOvertaken, worker.entry.name,
+                      now.steady - poll.sent_at);
+    return;
+  }
+  worker.reports.Record(report, OrderNumber{last_order_});
   if (worker.silent) {
     worker.silent = false;
     LogWorkerDecision(DecisionKind::kWorkerResponding, worker.entry.name,
--- a/packages/jobs/src/worker_pool.h
+++ b/packages/jobs/src/worker_pool.h
@@ -15,6 +15,7 @@
 #include "jasminespar/jobs/dispatcher.h"
 #include "jasminespar/jobs/messages.h"
 #include "pace_probe.h"
+#include "report_order.h"
 
 namespace jasminespar::jobs {
 
@@ -78,6 +79,7 @@
   /// end, it got no order from an earlier one, or its lease expired.
   bool reconciled = false;
 
+  ReportOrder reports;
   std::optional<WorkerClock> clock;  ///< The worker's clock at `clock_at`.
   TimePoint clock_at;
   /// All runs that it was ordered to start have ended by then.
--- a/tests/jobs/dispatcher_fixture.h
+++ b/tests/jobs/dispatcher_fixture.h
@@ -125,6 +125,14 @@
     }
   }
 
+  /// Delivers a report that was held.
+  void DeliverReport(std::size_t index) {
+    HeldReport held = std::move(held_reports.at(index));
+    held_reports.erase(held_reports.begin() +
+                       static_cast<std::ptrdiff_t>(index));
+    Answer(held.order, std::move(held.report));
+  }
+
   /// Answers the commit in flight, if any, and all later ones.
   void AnswerCommits() {
     answer_commits = true;
@@ -148,6 +156,12 @@
         {++last_end[worker], task, run, ending, std::string()});
   }
 
+  /// A report that the worker has made and that has not arrived.
+  struct HeldReport {
+    SendOrder order;
+    WorkerReport report;
+  };
+
   DispatcherSettings settings;
   PredecessorWindows predecessors{5s, 1500ms};
   Dispatcher dispatcher;
@@ -158,6 +172,8 @@
   std::map<std::string, std::uint64_t> last_end;
   /// Most ends that a worker lists in one report, the oldest first.
   std::size_t ends_per_report = 500;
+  bool hold_reports = false;  ///< Reports wait in `held_reports`.
+  std::vector<HeldReport> held_reports;
   std::map<std::string, bool> unresponsive;  ///< Workers that answer no poll.
   std::vector<SendOrder> starts;
   std::vector<SendOrder> stops;
@@ -226,7 +242,11 @@
     WorkerReport page = report;
     page.more_ends = page.ends.size() >= ends_per_report;
     if (page.more_ends) page.ends.resize(ends_per_report);
-    Answer(order, std::move(page));
+    if (hold_reports) {
+      held_reports.push_back({order, std::move(page)});
+    } else {
+      Answer(order, std::move(page));
+    }
   }
 
   void HandleCommit(Commit commit) {
