--- a/packages/jobs/include/jasminespar/jobs/dispatcher.h
+++ b/packages/jobs/include/jasminespar/jobs/dispatcher.h
@@ -21,6 +21,8 @@
   /// Time until a task that was stopped with a checkpoint runs again.
   Duration resume_delay = 250ms;
   Duration stop_limit = 900ms;  ///< Longest time a worker takes to stop a run.
+  /// Time between two reports of a worker to the platform.
+  Duration entry_interval = 1500ms;
   Duration reclaim_within = 3400ms;  ///< Bound on the start of guaranteed work.
   std::size_t max_row_bytes = 64U << 10;  ///< Of a row of the table.
   /// Nothing starts in a data centre that the operator empties from this time
--- a/packages/jobs/include/jasminespar/jobs/messages.h
+++ b/packages/jobs/include/jasminespar/jobs/messages.h
@@ -215,6 +215,8 @@
   kWorkerResponding,
   kWorkerRestarted,
   kWorkerLeaving,
+  kWorkerLeft,
+  kWorkerUnlisted,
   kWorkerQuarantined,
   kOrderUnanswered,
   kOrderRefused,
@@ -230,7 +232,7 @@
   kPacesAlike,
 };
 
-inline constexpr NameTable<DecisionKind, 24> kDecisionNames{{
+inline constexpr NameTable<DecisionKind, 26> kDecisionNames{{
     {DecisionKind::kStart, "start", "A start was ordered."},
     {DecisionKind::kStop, "stop", "A stop was ordered."},
     {DecisionKind::kRunEnded, "run_ended", "A worker reported an ended run."},
@@ -243,6 +245,11 @@
     {DecisionKind::kWorkerRestarted, "worker_reborn", "A worker restarted."},
     {DecisionKind::kWorkerLeaving, "worker_leaving",
      "A worker drains and gets no new runs."},
+    {DecisionKind::kWorkerLeft, "worker_left",
+     "A leaving worker has ended, and what ran there with it."},
+    {DecisionKind::kWorkerUnlisted, "worker_unlisted",
+     "The entry of a leaving worker is gone; it may have expired, and its runs "
+     "may go on."},
     {DecisionKind::kWorkerQuarantined, "worker_quarantined",
      "Runs of several jobs in a row failed on a worker."},
     {DecisionKind::kOrderUnanswered, "order_unanswered",
--- a/packages/jobs/src/dispatcher.cc
+++ b/packages/jobs/src/dispatcher.cc
@@ -89,13 +89,8 @@
   if (leaving && !worker.leaving) {
     LogWorkerDecision(DecisionKind::kWorkerLeaving, listed.entry.name, {});
   }
-  const bool began_to_leave = leaving && worker.listed && !worker.entry.leaving;
-  const bool list_current = now.steady - worker_list_as_of_ < kMaxWorkerListAge;
-  if (!leaving) {
-    worker.leaving_since.reset();
-    worker.departs_at.reset();
-  }
-  if (began_to_leave && list_current) worker.leaving_since = now.steady;
+  if (!leaving) worker.departs_at.reset();
+  NoteEntry(worker, listed.entry);
   const Incarnation known = worker.entry.incarnation;
   const bool said_anew = listed.entry.time_left != worker.entry.time_left;
   worker.entry = std::move(listed.entry);
@@ -109,7 +104,6 @@
   if (evacuations_.in_use()) {
     worker.cold_until = now.steady + worker.entry.cold_for;
   }
-  worker.entry_deleted_at.reset();
 }
 
 void Dispatcher::Impl::On(const WorkerUnlisted& unlisted, const Now& now) {
@@ -120,9 +114,8 @@
   if (unlisted.cause == UnlistedCause::kDeleted) NoteDeletedEntry(worker, now);
 }
 
-void Dispatcher::Impl::On(const WorkerListConfirmed& confirmed,
-                          const Now& now) {
-  NoteListConfirmed(confirmed.as_of, now);
+void Dispatcher::Impl::On(const WorkerListConfirmed& confirmed, const Now&) {
+  worker_list_as_of_ = std::max(worker_list_as_of_, confirmed.as_of);
 }
 
 void Dispatcher::Impl::On(const WorkerEnrolled& enrolled, const Now&) {
@@ -153,7 +146,7 @@
     if (const auto* report = std::get_if<WorkerReport>(&ended.outcome)) {
       HandleReport(worker, order, *report, now);
     } else {
-      HandleUnansweredPoll(worker, order, now);
+      HandleUnansweredPoll(worker, now);
     }
     return;
   }
--- a/packages/jobs/src/dispatcher_impl.h
+++ b/packages/jobs/src/dispatcher_impl.h
@@ -178,8 +178,7 @@
   /// Sends the polls that are due.
   void PollWorkers(const Now& now);
   void SendPoll(WorkerState& worker, Duration wait, const Now& now);
-  void HandleUnansweredPoll(WorkerState& worker, const PendingOrder& poll,
-                            const Now& now);
+  void HandleUnansweredPoll(WorkerState& worker, const Now& now);
   void HandleReport(WorkerState& worker, const PendingOrder& poll,
                     const WorkerReport& report, const Now& now);
   /// If the worker restarted, resets all that depended on its process.
@@ -200,13 +199,12 @@
   void ExpireLeases(const Now& now);
 
   // worker_exit.cc: workers that leave in an orderly way.
-  void NoteListConfirmed(TimePoint as_of, const Now& now);
+  /// Notes when the entry was written. To be called before it replaces the
+  /// known one.
+  void NoteEntry(WorkerState& worker, const WorkerEntry& entry) const;
   /// Concludes from the deletion of the worker's entry that it has ended, if
-  /// the entry cannot have expired and the worker no longer answers.
+  /// the entry cannot have expired.
   void NoteDeletedEntry(WorkerState& worker, const Now& now);
-  void NoteUnansweredPoll(WorkerState& worker, const PendingOrder& poll,
-                          const Now& now);
-  static void NoteAnsweredPoll(WorkerState& worker, const PendingOrder& poll);
   /// Nothing runs on the worker any more.
   void HandleExit(WorkerState& worker, const Now& now);
 
@@ -406,7 +404,6 @@
   /// Accelerators that runs of priority 0 occupy.
   std::map<ClientAccountId, std::int64_t> urgent_use_;
   TimePoint worker_list_as_of_;
-  TimePoint list_current_since_;  ///< Without a gap.
   std::map<OrderNumber, PendingOrder> orders_;
   std::set<JobId> dirty_;
   std::vector<JobId> expired_;  ///< For the next commits.
--- a/packages/jobs/src/report_order.cc
+++ b/packages/jobs/src/report_order.cc
@@ -1,5 +1,7 @@
 #include "report_order.h"
 
+#include <limits>
+
 namespace jasminespar::jobs {
 
 bool ReportOrder::IsNewer(OrderNumber poll,
@@ -14,4 +16,10 @@
   newest_ = Newest{report.incarnation, report.clock, last_sent};
 }
 
+void ReportOrder::EndProcess(OrderNumber last_sent) noexcept {
+  constexpr WorkerClock kNeverAgain{std::numeric_limits<std::uint64_t>::max()};
+  const Incarnation ended = newest_ ? newest_->incarnation : Incarnation{};
+  newest_ = Newest{ended, kNeverAgain, last_sent};
+}
+
 }  // namespace jasminespar::jobs
--- a/packages/jobs/src/report_order.h
+++ b/packages/jobs/src/report_order.h
@@ -29,6 +29,10 @@
   /// @param last_sent the last order sent by now, to any worker.
   void Record(const WorkerReport& report, OrderNumber last_sent) noexcept;
 
+  /// No report that was under way counts: the process that made it has ended.
+  /// @param last_sent the last order sent by now, to any worker.
+  void EndProcess(OrderNumber last_sent) noexcept;
+
  private:
   struct Newest {
     Incarnation incarnation;
--- a/packages/jobs/src/worker_polls.cc
+++ b/packages/jobs/src/worker_polls.cc
@@ -10,10 +10,6 @@
 /// A poll waits this long for a run to end; workers allow no more.
 constexpr Duration kPollWaitTimeout = 2s;
 
-/// The same for a worker that leaves: its last answer tells whether it was
-/// there shortly before its entry was deleted.
-constexpr Duration kLeavingPollWait = 500ms;
-
 /// The same for a worker that leaves at a known time: how far its runs are
 /// decides about them.
 constexpr Duration kDepartingPollWait = 250ms;
@@ -35,8 +31,7 @@
 
 /// @return how long a poll of the worker waits for a run to end.
 Duration PollWaitOf(const WorkerState& worker) {
-  if (worker.departs_at) return kDepartingPollWait;
-  return worker.leaving ? kLeavingPollWait : kPollWaitTimeout;
+  return worker.departs_at ? kDepartingPollWait : kPollWaitTimeout;
 }
 
 }  // namespace
@@ -67,10 +62,8 @@
 }
 
 void Dispatcher::Impl::HandleUnansweredPoll(WorkerState& worker,
-                                            const PendingOrder& poll,
                                             const Now& now) {
   worker.next_poll = now.steady + kPollRetryDelay;
-  NoteUnansweredPoll(worker, poll, now);
   if (worker.silent || now.steady - worker.last_answer < kSilenceTimeout)
     return;
   worker.silent = true;
@@ -97,7 +90,6 @@
                       now.steady - worker.last_answer);
   }
   worker.last_answer = now.steady;
-  NoteAnsweredPoll(worker, poll);
   if (!worker.reconciled && !report.more_ends) {
     worker.reconciled = true;
     // The worker refuses orders of earlier owners from now on.
--- a/packages/jobs/src/worker_pool.h
+++ b/packages/jobs/src/worker_pool.h
@@ -62,13 +62,8 @@
 struct WorkerState {
   WorkerEntry entry;
   bool listed = false;
-  /// When its entry began to say that it leaves; nothing if that was not seen
-  /// soon after.
-  std::optional<TimePoint> leaving_since;
-  /// When its entry was deleted although it had answered shortly before, as it
-  /// was leaving; nothing once it has certainly left.
-  std::optional<TimePoint> entry_deleted_at;
-  std::uint32_t unanswered_polls = 0;  ///< Since its last answer.
+  /// Its entry was written later than this; nothing: not known.
+  std::optional<TimePoint> entry_written_after;
   bool enrolled = false;  ///< It is stored in the table, so it may get work.
   bool leaving = false;
   /// When a leaving worker may end, at the earliest; nothing: unknown.
--- a/packages/jobserver/src/job_server.cc
+++ b/packages/jobserver/src/job_server.cc
@@ -101,6 +101,7 @@
   dispatcher.status_retention = settings.status_retention;
   dispatcher.resume_delay = settings.resume_delay;
   dispatcher.stop_limit = settings.stop_limit;
+  dispatcher.entry_interval = settings.entry_interval;
   dispatcher.reclaim_within = settings.reclaim_within;
   dispatcher.max_row_bytes = settings.max_row_bytes;
   dispatcher.evacuate_within = settings.evacuate_within;
--- a/packages/settings/src/job_server_settings.cc
+++ b/packages/settings/src/job_server_settings.cc
@@ -21,7 +21,7 @@
 /// Short alias for the accessors in the rows.
 using Settings = JobServerSettings;
 
-constexpr std::array<SettingRow<Settings>, 25> kRows{{
+constexpr std::array<SettingRow<Settings>, 26> kRows{{
     {"instance",
      "id",
      kName,
@@ -161,6 +161,15 @@
      {1 * kMs, 1 * kH},
      "Time by which a run that was told to stop is over.",
      [](Settings& s) -> Duration& { return s.stop_limit; }},
+    {"workers",
+     "entry_interval",
+     kDuration,
+     kDefaulted,
+     "1500ms",
+     {1 * kMs, 1 * kH},
+     "Time between two reports of a worker to the platform, which takes a "
+     "worker that misses three of them for gone.",
+     [](Settings& s) -> Duration& { return s.entry_interval; }},
     {"jobs",
      "reclaim_within",
      kDuration,
--- a/tests/jobs/dispatcher_fixture.h
+++ b/tests/jobs/dispatcher_fixture.h
@@ -121,7 +121,27 @@
       const auto& start = std::get<StartRun>(order.what);
       reports[order.worker.value].runs.push_back(
           {start.task, start.run, "", 0});
-      Answer(order, OrderAccepted{{1000}});
+      Answer(order, OrderAccepted{ClockOf(order.worker.value)});
+    }
+  }
+
+  /// The worker's process ends, and a new one starts under its name.
+  void Restart(const std::string& worker, Incarnation incarnation) {
+    reports[worker] = WorkerReport{};
+    reports[worker].incarnation = incarnation;
+    last_end[worker] = 0;
+    started_at[worker] = now.steady;
+  }
+
+  [[nodiscard]] WorkerClock ClockOf(const std::string& worker) {
+    return {static_cast<std::uint64_t>(
+        ToMilliseconds(now.steady - started_at[worker]) + 1)};
+  }
+
+  /// Polls whose reports were held get no answer.
+  void LoseReports() {
+    for (const HeldReport& held : std::exchange(held_reports, {})) {
+      Answer(held.order, OrderUnanswered{});
     }
   }
 
@@ -170,6 +190,7 @@
   Duration tick = 50ms;  ///< Between decisions while time advances.
   std::map<std::string, WorkerReport> reports;
   std::map<std::string, std::uint64_t> last_end;
+  std::map<std::string, TimePoint> started_at;  ///< The worker's process.
   /// Most ends that a worker lists in one report, the oldest first.
   std::size_t ends_per_report = 500;
   bool hold_reports = false;  ///< Reports wait in `held_reports`.
@@ -239,8 +260,7 @@
       Answer(order, OrderUnanswered{});
       return;
     }
-    report.clock.value = static_cast<std::uint64_t>(
-        ToMilliseconds(now.steady.time_since_epoch()));
+    report.clock = ClockOf(order.worker.value);
     WorkerReport page = report;
     page.more_ends = page.ends.size() >= ends_per_report;
     if (page.more_ends) page.ends.resize(ends_per_report);
--- a/tests/jobs/overtaken_report_test.cc
+++ b/tests/jobs/overtaken_report_test.cc
@@ -53,9 +53,8 @@
 // review/6: the overtaken report brought the run back, and the task never
 // started again (LOST).
 TEST_CASE("a report that was overtaken brings no ended run back") {
-  const RunEnding ending =
-      GENERATE(RunEnding::kFailed, RunEnding::kStopped, RunEnding::kLeaseExpired,
-               RunEnding::kDone);
+  const RunEnding ending = GENERATE(RunEnding::kFailed, RunEnding::kStopped,
+                                    RunEnding::kLeaseExpired, RunEnding::kDone);
   const bool sent_first = GENERATE(true, false);
   const bool more_decisions = GENERATE(true, false);
   DispatcherFixture fixture;
--- a/tests/jobserver/job_site.cc
+++ b/tests/jobserver/job_site.cc
@@ -120,6 +120,7 @@
   settings.max_lease = 10s;
   settings.status_retention = retention_;
   settings.stop_limit = 900ms;
+  settings.entry_interval = 1500ms;
   settings.reclaim_within = 3s;
   settings.evacuate_within = evacuate_within_;
   settings.shutdown_grace = 6s;
