--- a/packages/jobs/src/dispatcher.cc
+++ b/packages/jobs/src/dispatcher.cc
@@ -91,12 +91,17 @@
   }
   if (!leaving) worker.departs_at.reset();
   NoteEntry(worker, listed.entry);
-  const Incarnation known = worker.entry.incarnation;
+  const Incarnation incarnation = listed.entry.incarnation;
+  const bool restarted = worker.clock &&
+                         incarnation != worker.entry.incarnation &&
+                         incarnation != worker.incarnation;
   const bool said_anew = listed.entry.time_left != worker.entry.time_left;
   worker.entry = std::move(listed.entry);
-  // A new incarnation is applied from a report only: the report shows what
-  // became of the runs of the previous one.
-  if (known.value != 0) worker.entry.incarnation = known;
+  if (restarted) {
+    // Only a report shows what became of the runs of the previous process.
+    worker.reports.Doubt(OrderNumber{last_order_});
+    worker.poll_soon = true;
+  }
   worker.listed = true;
   worker.leaving = leaving;
   if (said_anew) NoteTimeLeft(worker, worker.entry.time_left, now);
@@ -154,7 +159,8 @@
   if (order.kind == Kind::kStop) {
     HandleStopAnswer(worker, order, accepted, now);
   } else if (accepted) {
-    HandleAcceptedStart(worker, order, now);
+    const auto& answer = std::get<OrderAccepted>(ended.outcome);
+    HandleAcceptedStart(worker, order, answer.clock, now);
   } else if (const auto* refused = std::get_if<OrderRefused>(&ended.outcome)) {
     HandleRefusedStart(worker, order, refused->refusal, now);
   } else {
--- a/packages/jobs/src/dispatcher_impl.h
+++ b/packages/jobs/src/dispatcher_impl.h
@@ -66,6 +66,7 @@
     TaskName task;  ///< Unset for a poll.
     RunNumber run;
     TimePoint sent_at;
+    std::uint64_t acknowledge_to = 0;  ///< Of a poll.
     enum class Kind : std::uint8_t { kStart, kStop, kPoll } kind = Kind::kPoll;
   };
 
@@ -161,7 +162,10 @@
   void SendStop(WorkerState& worker, const TaskName& name, PlacedRun& placed,
                 const Now& now);
   void HandleAcceptedStart(WorkerState& worker, const PendingOrder& order,
-                           const Now& now);
+                           WorkerClock clock, const Now& now);
+  /// The worker has shown that it got the start of the run.
+  void HandleConfirmedRun(WorkerState& worker, const TaskName& name,
+                          RunNumber run, const Now& now);
   void HandleRefusedStart(WorkerState& worker, const PendingOrder& order,
                           OrderRefusal refusal, const Now& now);
   void HandleUnansweredStart(WorkerState& worker, const PendingOrder& order,
--- a/packages/jobs/src/orders.cc
+++ b/packages/jobs/src/orders.cc
@@ -26,8 +26,9 @@
   pending.sent_at = now.steady;
   // A stop renews no lease. Nor does any order to a silent worker: its lease
   // must expire so that its tasks can start elsewhere.
-  const bool grants =
-      pending.kind != PendingOrder::Kind::kStop && !worker.silent;
+  // If the worker may have started again, its clock is not known.
+  const bool grants = pending.kind != PendingOrder::Kind::kStop &&
+                      !worker.silent && !worker.reports.in_doubt();
   const WorkerClock until =
       grants ? LeaseUntil(worker, settings_.max_lease, now.steady)
              : WorkerClock{};
@@ -73,11 +74,23 @@
 
 void Dispatcher::Impl::HandleAcceptedStart(WorkerState& worker,
                                            const PendingOrder& order,
-                                           const Now& now) {
+                                           WorkerClock clock, const Now& now) {
   worker.last_answer = now.steady;
   const auto found = worker.placed_runs.find(order.task);
   if (found == worker.placed_runs.end() || found->second.run != order.run)
     return;
+  if (worker.reports.IsForKnownProcess(order.number) &&
+      worker.reports.IsSameProcess(clock, now.steady)) {
+    found->second.in_known_process = true;
+  }
+  HandleConfirmedRun(worker, order.task, order.run, now);
+}
+
+void Dispatcher::Impl::HandleConfirmedRun(WorkerState& worker,
+                                          const TaskName& name, RunNumber run,
+                                          const Now& now) {
+  const auto found = worker.placed_runs.find(name);
+  if (found == worker.placed_runs.end() || found->second.run != run) return;
   PlacedRun& placed = found->second;
   if (!placed.confirmed_at) placed.confirmed_at = now.steady;
   placed.progressed_at = now.steady;
@@ -87,9 +100,9 @@
   // Poll now, to wait for the run's end: the next poll of an idle worker may be
   // seconds away.
   worker.next_poll = std::min(worker.next_poll, now.steady);
-  JobState* job = FindJob(order.task.job);
+  JobState* job = FindJob(name.job);
   if (job == nullptr) return;
-  StepOf(*job, order.task).last_confirmed_at = now.steady;
+  StepOf(*job, name).last_confirmed_at = now.steady;
   if (job->phase != JobPhase::kQueued) return;
   job->phase = JobPhase::kRunning;
   job->status_dirty = true;
@@ -170,6 +183,10 @@
     return;
   PlacedRun& placed = found->second;
   placed.in_flight = false;
+  if (accepted && !worker.reports.IsForKnownProcess(order.number)) {
+    placed.retry_at = now.steady;  // An earlier process may have accepted it.
+    return;
+  }
   if (accepted) {
     worker.last_answer = now.steady;
     placed.stop_confirmed_at = now.steady;
@@ -183,7 +200,8 @@
 }
 
 void Dispatcher::Impl::RetryOrders(WorkerState& worker, const Now& now) {
-  if (worker.silent) return;  // Polls show when it answers again.
+  // Polls show when it answers again, and which process does.
+  if (worker.silent || worker.reports.in_doubt()) return;
   if (!worker.has_open_orders) return;
   worker.has_open_orders = std::any_of(
       worker.placed_runs.begin(), worker.placed_runs.end(),
--- a/packages/jobs/src/pace_observations.cc
+++ b/packages/jobs/src/pace_observations.cc
@@ -79,7 +79,7 @@
   }
   static const std::string kNoKind;
   const std::vector<std::string>& labels = worker.entry.labels;
-  paces_.Record(worker.entry.name, worker.entry.incarnation,
+  paces_.Record(worker.entry.name, worker.incarnation,
                 labels.empty() ? kNoKind : labels.front(), task.index, run,
                 sample);
   paces_changed_ = true;
--- a/packages/jobs/src/starts.cc
+++ b/packages/jobs/src/starts.cc
@@ -240,7 +240,7 @@
   PlacedRun placed;
   placed.run = run;
   placed.need = NeedOf(job.SpecOf(step));
-  placed.incarnation = worker.entry.incarnation;
+  placed.incarnation = worker.incarnation;
   placed.priority = job.queue.priority;
   placed.account = job.job.account;
   placed.progressed_at = now.steady;
--- a/packages/jobs/src/worker_polls.cc
+++ b/packages/jobs/src/worker_polls.cc
@@ -17,9 +17,9 @@
 /// Between polls of a worker that runs nothing.
 constexpr Duration kIdlePollInterval = 2s;
 
-/// Between polls of a worker with uncommitted ended runs. These are not
-/// acknowledged yet, so a poll that waits for an end would return immediately.
-constexpr Duration kUncommittedPollInterval = 400ms;
+/// Between polls of a worker with ended runs that cannot be acknowledged yet. A
+/// poll that waits for an end would return immediately.
+constexpr Duration kUnacknowledgedPollInterval = 400ms;
 
 /// Before the next poll after an unanswered one.
 constexpr Duration kPollRetryDelay = 150ms;
@@ -34,6 +34,15 @@
   return worker.departs_at ? kDepartingPollWait : kPollWaitTimeout;
 }
 
+/// @return time from a report of the worker until the next poll.
+Duration PollIntervalOf(const WorkerState& worker) {
+  const bool unacknowledged = worker.processed_to > worker.acknowledged_to;
+  const bool may_acknowledge =
+      worker.processed_to == worker.durable_to && worker.AcknowledgeTo() > 0;
+  if (unacknowledged && !may_acknowledge) return kUnacknowledgedPollInterval;
+  return worker.placed_runs.empty() ? kIdlePollInterval : Duration{};
+}
+
 }  // namespace
 
 void Dispatcher::Impl::PollWorkers(const Now& now) {
@@ -58,7 +67,10 @@
                                 const Now& now) {
   worker.poll_soon = false;
   ++worker.polls_in_flight;
-  Send(worker, PendingOrder{}, PollWorker{worker.durable_to, wait}, now);
+  PendingOrder pending;
+  pending.acknowledge_to = worker.AcknowledgeTo();
+  const PollWorker poll{pending.acknowledge_to, wait};
+  Send(worker, std::move(pending), poll, now);
 }
 
 void Dispatcher::Impl::HandleUnansweredPoll(WorkerState& worker,
@@ -83,7 +95,8 @@
                       now.steady - poll.sent_at);
     return;
   }
-  worker.reports.Record(report, OrderNumber{last_order_});
+  worker.reports.Record(poll.number, report, poll.sent_at,
+                        OrderNumber{last_order_});
   if (worker.silent) {
     worker.silent = false;
     LogWorkerDecision(DecisionKind::kWorkerResponding, worker.entry.name,
@@ -98,6 +111,10 @@
                  LeaseExpiryBound(settings_.max_lease, now.steady));
   }
   HandleIncarnation(worker, report.incarnation, now);
+  if (worker.reports.IsForKnownProcess(poll.number)) {
+    worker.acknowledged_to =
+        std::max(worker.acknowledged_to, poll.acknowledge_to);
+  }
   if (!worker.clock || report.clock > *worker.clock) {
     worker.clock = report.clock;
     worker.clock_at = now.steady;
@@ -121,30 +138,31 @@
   if (report.complete && !report.more_ends) {
     RemoveUnlistedRuns(worker, poll, report, now);
   }
-  if (worker.processed_to != worker.durable_to) {
-    worker.next_poll = now.steady + kUncommittedPollInterval;
-  } else if (worker.placed_runs.empty()) {
-    worker.next_poll = now.steady + kIdlePollInterval;
-  } else {
-    worker.next_poll = now.steady;
-  }
+  worker.next_poll = now.steady + PollIntervalOf(worker);
 }
 
 void Dispatcher::Impl::HandleIncarnation(WorkerState& worker,
                                          Incarnation incarnation,
                                          const Now& now) {
-  if (worker.entry.incarnation == incarnation) return;
+  if (worker.incarnation == incarnation) return;
   if (worker.clock) {
     LogWorkerDecision(DecisionKind::kWorkerRestarted, worker.entry.name,
                       now.steady - worker.last_answer);
   }
-  worker.entry.incarnation = incarnation;
+  worker.incarnation = incarnation;
   worker.clock.reset();
   worker.processed_to = 0;
   worker.committing_to = 0;
   worker.durable_to = 0;
+  worker.acknowledged_to = 0;
   worker.failures_in_row = 0;
   ForgetPace(worker);
+  for (auto& [name, placed] : worker.placed_runs) {
+    // The new process may be given a run that the earlier one has stopped.
+    placed.in_known_process = false;
+    placed.stop_confirmed_at.reset();
+    worker.has_open_orders = true;
+  }
 }
 
 void Dispatcher::Impl::HandleListedRun(WorkerState& worker,
@@ -157,13 +175,10 @@
   }
   PlacedRun& placed = found->second;
   if (placed.run != listed.run) return;
-  placed.incarnation = worker.entry.incarnation;
+  placed.incarnation = worker.incarnation;
+  placed.in_known_process = true;
   if (!placed.confirmed_at) {
-    PendingOrder confirmed;
-    confirmed.worker = worker.entry.name;
-    confirmed.task = listed.task;
-    confirmed.run = listed.run;
-    HandleAcceptedStart(worker, confirmed, now);
+    HandleConfirmedRun(worker, listed.task, listed.run, now);
   }
   ObserveProgress(worker, listed, placed, now);
   placed.track.Record(listed.percent, now.steady);
@@ -176,7 +191,8 @@
   TaskState* task = job == nullptr ? nullptr : FindTask(*job, listed.task);
   PlacedRun placed;
   placed.run = listed.run;
-  placed.incarnation = worker.entry.incarnation;
+  placed.incarnation = worker.incarnation;
+  placed.in_known_process = true;
   placed.phase = PlacedRunPhase::kRunning;
   placed.confirmed_at = now.steady;
   placed.progressed_at = now.steady;
--- a/packages/jobs/src/worker_pool.cc
+++ b/packages/jobs/src/worker_pool.cc
@@ -7,9 +7,6 @@
 
 namespace {
 
-/// A worker's clock may be this much slower than ours, in percent.
-constexpr int kClockDriftPercent = 2;
-
 /// Covers the transit of an order and the rounding of clocks.
 constexpr Duration kLeaseMargin = 250ms;
 
@@ -20,6 +17,14 @@
                      [](const auto& entry) { return entry.second.stray; });
 }
 
+std::uint64_t WorkerState::AcknowledgeTo() const {
+  if (durable_to <= acknowledged_to) return 0;
+  const bool certain = std::all_of(
+      placed_runs.begin(), placed_runs.end(),
+      [](const auto& each) { return each.second.in_known_process; });
+  return certain ? durable_to : 0;
+}
+
 std::optional<Duration> TimeLeftOf(const WorkerState& worker,
                                    WorkerClock clock) {
   const WorkerEntry& entry = worker.entry;
@@ -34,7 +39,8 @@
 bool IsUsable(const WorkerState& worker, TimePoint now) {
   return worker.listed && worker.enrolled && worker.reconciled &&
          !worker.leaving && !worker.emptied && !worker.silent &&
-         worker.clock.has_value() && now - worker.last_answer < kMaxAnswerAge &&
+         !worker.reports.in_doubt() && worker.clock.has_value() &&
+         now - worker.last_answer < kMaxAnswerAge &&
          now >= worker.quarantined_until && !worker.HasStray();
 }
 
--- a/packages/jobs/src/worker_pool.h
+++ b/packages/jobs/src/worker_pool.h
@@ -28,6 +28,8 @@
   Resources need;
   PlacedRunPhase phase = PlacedRunPhase::kStarting;
   Incarnation incarnation;
+  /// The worker's present process certainly has it or has had it.
+  bool in_known_process = false;
   bool stray = false;  ///< Reported by the worker but of no known job.
   std::uint32_t priority = 0;
   ClientAccountId account;
@@ -74,6 +76,7 @@
   /// end, it got no order from an earlier one, or its lease expired.
   bool reconciled = false;
 
+  Incarnation incarnation;  ///< Of the process that made the newest report.
   ReportOrder reports;
   std::optional<WorkerClock> clock;  ///< The worker's clock at `clock_at`.
   TimePoint clock_at;
@@ -85,6 +88,8 @@
   std::uint64_t processed_to = 0;   ///< Last ended run handled.
   std::uint64_t committing_to = 0;  ///< Last one in the commit in flight.
   std::uint64_t durable_to = 0;     ///< Last one that may be acknowledged.
+  /// Last one whose acknowledgement its process has answered.
+  std::uint64_t acknowledged_to = 0;
 
   std::uint32_t polls_in_flight = 0;
   TimePoint next_poll;
@@ -113,11 +118,19 @@
     return entry.capacity - used;
   }
   [[nodiscard]] bool HasStray() const;
+
+  /// @return last ended run to acknowledge now; zero: none. A process that
+  ///     started unnoticed numbers its ends anew, so while it may have been
+  ///     given a run, an acknowledgement could name that run's end.
+  [[nodiscard]] std::uint64_t AcknowledgeTo() const;
 };
 
 /// stalled_runs.cc: applies what a report shows of a run.
 void NoteProgress(PlacedRun& placed, const ListedRun& listed, TimePoint now);
 
+/// A worker's clock may lose or gain this much against ours, in percent.
+inline constexpr int kClockDriftPercent = 2;
+
 /// A worker whose last answer is older gets no new work.
 inline constexpr Duration kMaxAnswerAge = 3500ms;
 
