Leave a confirmed run alone when a repeated start is refused

Callers saw: work thrown away. Cause: a start without an answer is sent again; if the worker had carried out the first one and refused the second as unhealthy, the run was stopped although a report had listed it. Change: a refusal of a repetition does not matter once the run is confirmed. Before: 'a refused repetition of a start does not stop its run' failed with the line taken out. After: 184 cases of test_jobs pass.

--- a/packages/jobs/src/orders.cc
+++ b/packages/jobs/src/orders.cc
@@ -125,6 +125,8 @@
       std::max(worker.quarantined_until, now.steady + kRefusalQuarantine);
   worker.poll_soon = true;
   if (placed.phase == PlacedRunPhase::kStarting) placed.in_flight = false;
+  // An earlier start was carried out; this one was a repetition.
+  if (placed.confirmed_at) return;
   if (placed.start_attempts > 1) {
     // An earlier start may still be carried out.
     BeginStop(worker, order.task, placed, DecisionCause::kUnanswered, now);
--- a/tests/jobs/overtaken_report_test.cc
+++ b/tests/jobs/overtaken_report_test.cc
@@ -88,5 +88,27 @@
   CHECK(StartsOf(fixture, kJob) == 1);
 }
 
+TEST_CASE("a refused repetition of a start does not stop its run") {
+  DispatcherFixture fixture;
+  fixture.AddWorker("w1");
+  fixture.FinishLoading();
+  fixture.Advance(200ms);
+  fixture.Feed(OneTask(kJob));
+  fixture.Advance(50ms);
+  REQUIRE(fixture.starts.size() == 1);
+  const auto start = std::get<StartRun>(fixture.starts.front().what);
+  fixture.Answer(fixture.starts.front(), OrderUnanswered{});
+  fixture.hold_reports = true;
+  fixture.Advance(100ms);
+  REQUIRE(fixture.starts.size() == 2);
+  fixture.hold_reports = false;
+  fixture.reports["w1"].runs.push_back({start.task, start.run, "", 0});
+  fixture.LoseReports();
+  fixture.Advance(300ms);
+  fixture.Answer(fixture.starts.back(), OrderRefused{OrderRefusal::kUnhealthy});
+  fixture.Advance(300ms);
+  CHECK(fixture.stops.empty());
+}
+
 }  // namespace
 }  // namespace jasminespar::jobs
