--- a/packages/jobs/src/dispatcher_impl.h
+++ b/packages/jobs/src/dispatcher_impl.h
@@ -87,9 +87,6 @@
   // dispatcher.cc: inputs.
   void On(JobLoaded found, const Now& now);
   void On(const JobCancelled& cancelled, const Now& now);
-  void On(const JobRowDeleted& deleted, const Now& now);
-  void On(const JobRowsListed& listed, const Now& now);
-  void On(const CancellationRowDeleted& deleted, const Now& now);
   void On(WorkerListed listed, const Now& now);
   void On(const WorkerUnlisted& unlisted, const Now& now);
   void On(const WorkerListConfirmed& confirmed, const Now& now);
@@ -144,6 +141,11 @@
   void CommitWorkers(Commit& commit, TimePoint now);
   /// Commits changes, unless a commit is still in flight.
   void SendCommit(const Now& now);
+
+  // retention.cc: jobs that have ended, until they are forgotten.
+  void On(const JobRowDeleted& deleted, const Now& now);
+  void On(const JobRowsListed& listed, const Now& now);
+  void On(const CancellationRowDeleted& deleted, const Now& now);
   /// Requests the deletion of the rows of ended jobs, and of cancellations
   /// whose job never came, after their retention. Forgets the jobs whose rows
   /// are gone.
--- a/packages/jobs/src/report_order.h
+++ b/packages/jobs/src/report_order.h
@@ -49,8 +49,7 @@
     return doubted_at_.has_value();
   }
 
-  /// @param clock of the process that gave an answer to an order that was sent
-  ///     after the newest report arrived.
+  /// @param clock of the process that gave an answer.
   /// @param now when the answer arrived.
   /// @return whether the process that made the newest report certainly gave it.
   [[nodiscard]] bool IsSameProcess(WorkerClock clock,
--- a/packages/jobserver/src/owner_writes.cc
+++ b/packages/jobserver/src/owner_writes.cc
@@ -119,6 +119,7 @@
 }
 
 void DispatchDuty::DeleteCellRows(const std::vector<jobs::ForgottenJob>& jobs) {
+  // Later than the job's own row: without its progress it would run again.
   for (const jobs::ForgottenJob& forgotten : jobs) {
     for (const std::uint32_t first_task : forgotten.progress_rows) {
       deletable_rows_.push_back(ProgressRowKey(forgotten.job, first_task));
