--- a/packages/settings/include/jasminespar/settings/job_server_settings.h
+++ b/packages/settings/include/jasminespar/settings/job_server_settings.h
@@ -36,7 +36,7 @@
   Duration status_retention{};
   /// Time until a task resumed from a checkpoint makes progress again.
   Duration resume_delay{};
-  Duration stop_limit{};  ///< Longest time that a run takes to stop.
+  Duration stop_limit{};      ///< Longest time that a run takes to stop.
   Duration entry_interval{};  ///< Between two reports to the platform.
   /// Longest wait of a job under its account's guarantee before it starts.
   Duration reclaim_within{};
