--- a/packages/jobs/src/orders.cc
+++ b/packages/jobs/src/orders.cc
@@ -31,7 +31,8 @@
     case PendingOrder::Kind::kStop:
       return false;
     case PendingOrder::Kind::kPoll:
-      return !worker.poll_unanswered;
+      // What lasts cannot wait until the worker counts as silent.
+      return !worker.poll_unanswered || !worker.HasLastingRun();
   }
   return false;
 }
--- a/packages/jobs/src/worker_pool.cc
+++ b/packages/jobs/src/worker_pool.cc
@@ -28,6 +28,11 @@
                      [](const auto& entry) { return entry.second.stray; });
 }
 
+bool WorkerState::HasLastingRun() const {
+  return std::any_of(placed_runs.begin(), placed_runs.end(),
+                     [](const auto& entry) { return entry.second.lasting; });
+}
+
 std::uint64_t WorkerState::AcknowledgeTo() const {
   if (durable_to <= acknowledged_to) return 0;
   const bool certain = std::all_of(
@@ -74,10 +79,8 @@
 }
 
 Duration LeaseOf(const WorkerState& worker, Duration max_lease) {
-  const bool lasting =
-      std::any_of(worker.placed_runs.begin(), worker.placed_runs.end(),
-                  [](const auto& entry) { return entry.second.lasting; });
-  return lasting ? std::min(max_lease, kLastingLease) : max_lease;
+  return worker.HasLastingRun() ? std::min(max_lease, kLastingLease)
+                                : max_lease;
 }
 
 WorkerClock LeaseUntil(const WorkerState& worker, Duration max_lease,
--- a/packages/jobs/src/worker_pool.h
+++ b/packages/jobs/src/worker_pool.h
@@ -120,6 +120,7 @@
     return entry.capacity - used;
   }
   [[nodiscard]] bool HasStray() const;
+  [[nodiscard]] bool HasLastingRun() const;
 
   /// @return last ended run to acknowledge now; zero: none. A process that
   ///     started unnoticed numbers its ends anew, so while it may have been
