--- a/packages/jobs/src/worker_pool.h
+++ b/packages/jobs/src/worker_pool.h
@@ -155,10 +155,9 @@
 [[nodiscard]] bool IsSuited(const WorkerState& worker, const StepSpec& spec,
                             const ServiceId& service);
 
-/// @return the lease to request for what runs on the worker. What lasts must
-/// run
-///     again soon after its worker was lost, which only the end of the lease
-///     shows.
+/// @return the lease to request for what runs on the worker. A lasting task
+///     must run again soon after its worker was lost, which only the end of the
+///     lease shows.
 [[nodiscard]] Duration LeaseOf(const WorkerState& worker, Duration max_lease);
 
 /// @return expiry of a lease requested now, on the worker's clock; zero if that
