--- a/review/12/case.py
+++ b/review/12/case.py
@@ -35,7 +35,7 @@
                 status, _ = await call(at.callers, "POST", "/q1/" + job, body)
                 record.say("client sends", job, "to", at.name, "answer", status)
                 if status // 100 == 2:
-                    accepted.append(job)
+                    accepted.append("/q1/" + job)
                 if status not in (0, 429, 502, 503, 504):
                     return
                 await asyncio.sleep(0.3)
--- a/review/standins-3/stand.py
+++ b/review/standins-3/stand.py
@@ -111,6 +111,9 @@
         self.slow = 1.0  # platform_slow: x
         self.ports = {}
         self.calls = 0
+        self.down = False  # platform_down busy: every call gets 503
+        self.part_down = ""  # one partition that is still down
+        self.beats = {}  # runner -> time of its last heartbeat
 
     def now_ms(self):
         return int((now() - self.begin) * 1000) + 1000
@@ -133,6 +136,32 @@
         self._set((table, part, key), base64.b64encode(value.encode()).decode())
         self._wake()
 
+    def set_down(self, down):
+        self.down = down
+        self._wake()
+
+    def beat(self, runner, entry):
+        """A runner's heartbeat. @return whether the store accepted it."""
+        if self.down:
+            return False
+        self.beats[runner] = now()
+        self.put("servers", "", runner, entry)
+        return True
+
+    async def expire(self):
+        """Removes entries after three intervals of silence, also while the
+        store is down."""
+        while True:
+            await asyncio.sleep(0.01)
+            for runner, at in list(self.beats.items()):
+                if now() - at > 4.5:
+                    self.drop_entry(runner)
+
+    def drop_entry(self, runner):
+        self.beats.pop(runner, None)
+        if ("servers", "", runner) in self.rows:
+            self.delete("servers", "", runner)
+
     def delete(self, table, part, key):
         self.ver += 1
         self._drop((table, part, key))
@@ -160,6 +189,8 @@
 
     async def handle(self, machine, method, target, body):
         self.calls += 1
+        if self.down:
+            return 503, {}
         path, _, query = target.partition("?")
         args = {k: v[0] for k, v in urllib.parse.parse_qs(query, keep_blank_values=True).items()}
         if path == "/jasminespar/rows-tx":
@@ -176,6 +207,8 @@
         if len(entries) > 100 or len({e["part"] for e in entries}) > 1:
             return 400, {}
         part = entries[0]["part"] if entries else ""
+        if part and part == self.part_down:
+            return 503, {}
         lock = self.parts.setdefault(part, asyncio.Lock())
         async with lock:
             await asyncio.sleep(self.TX_S * (tx_x or self.slow))
@@ -207,6 +240,8 @@
         table, after = args.get("table", ""), int(args["after"])
         until = now() + min(int(args.get("wait_ms", 0)), 30000) / 1000
         while True:
+            if self.down:
+                return 503, {}
             seen = {}
             for _, ver, where in self.log:
                 if ver > after and where[0] == table:
@@ -262,6 +297,10 @@
         self.hung = False  # srv_grey: takes orders and does not answer
         self.orders = 0
         self.was_hung = False
+        self.beat_s = 1.5  # approximately heartbeat_ms
+        self.beat_at = self.look_at = 0.0
+        self.stop_s = 0.1  # at most stop_ms
+        self.leaves_at = None  # when it will be gone
 
     def clock(self):
         return int((now() - self.begin) * 1000) + 10000
@@ -280,12 +319,14 @@
 
     def write(self):
         self.seq += 1
-        self.store.put("servers", "", self.name, self.entry())
+        if self.store.beat(self.name, self.entry()):
+            self.beat_at = now()
 
     async def beat(self):
         while self.alive:
-            await asyncio.sleep(1.5)
-            self.write()
+            await asyncio.sleep(self.beat_s)
+            if self.alive:
+                self.write()
 
     def end(self, task, how):
         run = self.runs.pop(task)
@@ -338,7 +379,7 @@
             task, run = call["task"], call["run"]
             self.over[task] = max(self.over.get(task, 0), run)
             if task in self.runs and self.runs[task]["run"] <= run:
-                self.runs[task].setdefault("stop", now() + 0.1)
+                self.runs[task].setdefault("stop", now() + self.stop_s)
             return 200, {"clock_ms": self.clock()}
         if target.endswith("/hold"):
             self.until = max(self.until, until)
@@ -350,12 +391,26 @@
                     await asyncio.wait_for(self.ended.wait(), min(wait, 2.0))
                 except asyncio.TimeoutError:
                     pass
+            self.look_at = now()
             listed = [[t, r["run"], "", min(99, int(100000 * (now() - r["begin"]) / max(1, r["ms"])))]
                       for t, r in self.runs.items()]
-            return 200, {"clock_ms": self.clock(), "born": self.born, "running_count": listed,
-                         "finished": self.finished[:500]}
+            report = {"clock_ms": self.clock(), "born": self.born, "running_count": listed,
+                      "finished": self.finished[:500]}
+            if self.leaves_at is not None:
+                report["drain_remaining_ms"] = max(0, int((self.leaves_at - now()) * 1000))
+            return 200, report
         return 404, {}
 
+    async def take_away(self, after_s):
+        """scale_in spot: gone a short time after the notice."""
+        self.state, self.leaves_at = "draining", now() + after_s
+        self.record.say("runner", self.name, "is told that it is gone in", after_s, "s")
+        await asyncio.sleep(after_s)
+        for task in list(self.runs):
+            self.record.say("runner", self.name, "takes with it", task)
+        self.record.say("runner", self.name, "is gone")
+        await self.stop()
+
     async def stop(self):
         self.alive = False
         for job in self.jobs:
@@ -363,13 +418,13 @@
         await self.http.stop()
 
 
-def configuration(version=1):
+def configuration(version=1, guaranteed=0):
     return {"version": version,
             "routes": [{"name": "r-%d" % p, "host": QUEUE_HOST, "prefix": "/q%d/" % p, "kind": "non_idempotent",
                         "timeout_ms": 3000, "target_runtime_ms": 1000, "priority": p, "service": SERVICE,
                         "max_attempts": 4, "slack_factor": 3.0, "public": False} for p in (0, 1, 2)],
             "services": [{"name": SERVICE, "admission_control": False}],
-            "tenants": [{"name": "t1", "api_keys": [KEY], "guaranteed": {"gpu": 0}}],
+            "tenants": [{"name": "t1", "api_keys": [KEY], "guaranteed": {"gpu": guaranteed}}],
             "limits": {"max_body_bytes": 262144}}
 
 
@@ -493,7 +548,8 @@
 
     ZONES = ["a", "a", "b", "b", "b", "c"]
 
-    def __init__(self, folder, runners=6, instances=6, capacity=None):
+    def __init__(self, folder, runners=6, instances=6, capacity=None, guaranteed=0):
+        self.guaranteed = guaranteed
         self.folder = folder
         self.temp = tempfile.mkdtemp(prefix="review-")
         self.record = Record(folder)
@@ -504,12 +560,10 @@
 
     async def start(self, store=None):
         self.store = store or Store()
-        self.store.put("op", "", "config", configuration())
-        for i in range(self.n_runners):
-            runner = Runner(self.store, self.record, "i-%04x%04d" % (self.rng.getrandbits(16), i),
-                            self.capacity, ["a", "r1-%d" % (i // 8)])
-            await runner.start()
-            self.runners.append(runner)
+        self.store.put("op", "", "config", configuration(guaranteed=self.guaranteed))
+        self.expiry = asyncio.create_task(self.store.expire())
+        for _ in range(self.n_runners):
+            await self.add_runner()
         for i in range(self.count):
             zone = self.ZONES[i % 6]
             name = "edge-vn-central-%s-%d" % (zone, 1 + self.ZONES[:i].count(zone))
@@ -520,32 +574,42 @@
         answers = await asyncio.gather(*(ready(i) for i in self.instances))
         return all(answers)
 
+    async def add_runner(self):
+        i = self.added = getattr(self, "added", -1) + 1
+        runner = Runner(self.store, self.record, "i-%04x%04d" % (self.rng.getrandbits(16), i),
+                        self.capacity, ["a", "r1-%d" % (i // 8)])
+        await runner.start()
+        self.runners.append(runner)
+        return runner
+
     async def stop(self):
         await asyncio.gather(*(i.stop() for i in self.instances))
+        self.expiry.cancel()
         for runner in self.runners:
             await runner.stop()
         await self.store.stop()
         self.record.close()
 
 
-async def stuck_jobs(site, accepted, tasks, for_s, cores=2000):
+async def stuck_jobs(site, accepted, tasks, for_s, per_runner=16):
     """LOST: for 3 s a job has nothing running while a task's turn has come,
     there is capacity for it twice over, and under half of the service's
     capacity is in use. For jobs of one step.
+    @param accepted the targets of the accepted jobs. @param tasks of a job. @param per_runner how many of them one runner holds.
     @return 1 if a job is stuck, else 0."""
     record = site.record
     stuck = None
     begin = now()
     shown = {}
-    slots = sum(r.capacity["cpu"] // cores for r in site.runners)
+    slots = per_runner * len(site.runners)
     while now() - begin < for_s:
         running = [t.split(".")[0] for r in site.runners for t in r.runs]
-        answers = await asyncio.gather(*(call(site.instances[i % len(site.instances)].callers, "GET", "/q1/" + job)
+        answers = await asyncio.gather(*(call(site.instances[i % len(site.instances)].callers, "GET", job)
                                          for i, job in enumerate(accepted)))
         still = set()
         for job, (status, state) in zip(accepted, answers):
             shown[job] = (status, state.get("state"))
-            if shown[job] in ((200, "queued"), (200, "running")) and job not in running:
+            if shown[job] in ((200, "queued"), (200, "running")) and job.rsplit("/", 1)[1] not in running:
                 still.add(job)
         if len(running) * 2 >= slots or slots - len(running) < 2 * tasks:
             still = set()
