--- a/review/12/case.py
+++ b/review/12/case.py
@@ -29,6 +29,7 @@
         self.stopped = ""  # the owner that is being stopped
         self.released = self.jobs_read = None
         self.renewed = asyncio.Event()
+        self.writes = self.lost = 0  # while the store is slow
 
     async def handle(self, machine, method, target, body):
         path, _, query = target.partition("?")
@@ -52,6 +53,7 @@
 
     async def write(self, call):
         values = [base64.b64decode(e["value"]) for e in call.get("upserts", []) if where(e) == OWNER_ROW]
+        self.writes += bool(self.stopped)
         answer = await self.transact(call)
         if not values or answer[0] != 200:
             return answer
@@ -65,6 +67,7 @@
         elif self.stopped and self.released is None:
             self.released = now()
             self.jobs_read = asyncio.Event()
+            self.lost += 1
             self.record.say("store:", self.stopped, "releases the owner row; the answer is lost")
             return None
         return answer
@@ -101,7 +104,7 @@
             owner = by_name[store.owner]
             if TROUBLE:
                 await asyncio.sleep(0.01)
-                store.stopped = owner.name
+                store.stopped, store.writes, store.lost = owner.name, 0, 0
                 record.say("the owner", owner.name, "gets SIGTERM; the store is slow")
                 owner.signal(signal.SIGTERM)
                 end = now() + SLOW_S
@@ -120,7 +123,7 @@
             if TROUBLE:
                 await asyncio.sleep(max(0.0, end - now()))
                 store.released = store.jobs_read = None
-                record.say("the store is sound again")
+                record.say("the store is sound again; answers lost:", store.lost, "of", store.writes, "writes")
                 await owner.process.wait()
                 store.stopped = ""
                 await owner.start()
--- a/review/standins-3/stand.py
+++ b/review/standins-3/stand.py
@@ -6,6 +6,7 @@
 import json
 import os
 import random
+import shutil
 import signal
 import socket
 import sys
@@ -593,6 +594,7 @@
             await runner.stop()
         await self.store.stop()
         self.record.close()
+        shutil.rmtree(self.temp, ignore_errors=True)
 
 
 async def stuck_jobs(site, accepted, tasks, for_s, per_runner=16):
