--- a/packages/jobs/include/jasminespar/jobs/ownership.h
+++ b/packages/jobs/include/jasminespar/jobs/ownership.h
@@ -85,12 +85,15 @@
   ///     result of a write.
   [[nodiscard]] OwnershipAction Next(TimePoint now);
 
+  /// A claim took effect. Its confirmation may arrive after a newer row has.
   /// @param sent_at when the confirmed write was sent; see AuthorityAt.
-  void ClaimSucceeded(const OwnerRow& row, RowVersion version,
-                      TimePoint sent_at, TimePoint now);
+  /// @return whether this instance owns the cell now; false if another one has
+  ///     written the row since.
+  [[nodiscard]] bool ClaimSucceeded(const OwnerRow& row, RowVersion version,
+                                    TimePoint sent_at, TimePoint now);
   void ClaimFailed(TimePoint now);
 
-  /// A write that was conditional on the owner row was confirmed.
+  /// A write by the owner that was conditional on the owner row was confirmed.
   void WriteSucceeded(const OwnerRow& row, RowVersion version,
                       TimePoint sent_at);
 
@@ -134,6 +137,10 @@
   /// @return what earlier owners can still do if the cell is claimed now.
   [[nodiscard]] PredecessorWindows WindowsAt(TimePoint now) const;
 
+  /// Records the row that a confirmed write left, unless a newer one is known.
+  /// @return whether the newest known row is of the same owner and epoch.
+  bool RecordOwnRow(const OwnerRow& row, RowVersion version);
+
   OwnershipSettings settings_;
   InstanceId self_;
   std::uint32_t rank_;
--- a/packages/jobs/src/ownership.cc
+++ b/packages/jobs/src/ownership.cc
@@ -100,14 +100,26 @@
   return row;
 }
 
-void Ownership::ClaimSucceeded(const OwnerRow& row, RowVersion version,
+bool Ownership::RecordOwnRow(const OwnerRow& row, RowVersion version) {
+  if (version > version_) {
+    version_ = version;
+    row_ = row;
+  }
+  return row_.owner == row.owner && row_.epoch == row.epoch;
+}
+
+bool Ownership::ClaimSucceeded(const OwnerRow& row, RowVersion version,
                                TimePoint sent_at, TimePoint now) {
+  if (!RecordOwnRow(row, version)) {
+    ClaimFailed(now);
+    return false;
+  }
   owned_ = true;
   last_row_change_ = now;
   confirmed_at_ = sent_at;
   claimed_windows_ = row.predecessors;
   claim_sent_at_ = sent_at;
-  WriteSucceeded(row, version, sent_at);
+  return true;
 }
 
 void Ownership::ClaimFailed(TimePoint now) {
@@ -116,10 +128,7 @@
 
 void Ownership::WriteSucceeded(const OwnerRow& row, RowVersion version,
                                TimePoint sent_at) {
-  if (version > version_) {
-    version_ = version;
-    row_ = row;
-  }
+  if (!owned_ || !RecordOwnRow(row, version)) return;
   confirmed_at_ = std::max(confirmed_at_, sent_at);
 }
 
--- a/packages/jobserver/src/owner_writes.cc
+++ b/packages/jobserver/src/owner_writes.cc
@@ -240,8 +240,17 @@
   const TimePoint now = runtime::SteadyNow();
   switch (write.kind) {
     case OwnerWrite::Kind::kClaim:
-      ownership_.ClaimSucceeded(write.row, version, write.sent_at, now);
-      BeginEpoch(write.row);
+      if (ownership_.ClaimSucceeded(write.row, version, write.sent_at, now)) {
+        BeginEpoch(write.row);
+      } else {
+        log_.Log(Event::kClaimSuperseded,
+                 {{"cell", kCellPartition},
+                  {"epoch", write.row.epoch.durable},
+                  {"row", version.value},
+                  {"newest_row", ownership_.version().value},
+                  {"owner", ownership_.row().owner.value},
+                  {"age_ms", ToMilliseconds(now - write.sent_at)}});
+      }
       return;
     case OwnerWrite::Kind::kRelease:
       log_.Log(Event::kHandoverFinished, {{"cell", kCellPartition}});
--- a/packages/telemetry/include/jasminespar/telemetry/events.h
+++ b/packages/telemetry/include/jasminespar/telemetry/events.h
@@ -78,6 +78,7 @@
   kOwnerChanged,
   kCommitRepeated,
   kCommitMalformed,
+  kClaimSuperseded,
 };
 
 /// One row of kEvents.
@@ -91,7 +92,7 @@
   std::string_view help;  ///< Same text as in docs/EVENTS.md.
 };
 
-inline constexpr std::array<EventRow, 40> kEvents{{
+inline constexpr std::array<EventRow, 41> kEvents{{
     {Event::kStarted, 1001, "started", Severity::kInfo,
      "The instance has started and serves requests."},
     {Event::kStopping, 1002, "stopping", Severity::kInfo,
@@ -174,9 +175,11 @@
      "The outcome of an owner's write is not known yet; it is sent again."},
     {Event::kCommitMalformed, 8008, "commit_malformed", Severity::kError,
      "The table rejected an owner's write as malformed; smaller ones follow."},
+    {Event::kClaimSuperseded, 8009, "claim_superseded", Severity::kInfo,
+     "A claim was confirmed after another instance had claimed the cell."},
 }};
 static_assert(IsDense(kEvents));
-static_assert(static_cast<std::size_t>(Event::kCommitMalformed) + 1 ==
+static_assert(static_cast<std::size_t>(Event::kClaimSuperseded) + 1 ==
               kEvents.size());
 
 /// One key=value pair of an event. Does not own the key or a text value: both
--- a/tests/jobs/hand_over_test.cc
+++ b/tests/jobs/hand_over_test.cc
@@ -13,7 +13,7 @@
 Ownership MakeOwner(const OwnerRow& row) {
   Ownership owner(kSettings, row.owner, 0, kNow - 1min);
   owner.HandleMissingOwnerRow(kNow);
-  owner.ClaimSucceeded(row, RowVersion{5}, kNow, kNow);
+  REQUIRE(owner.ClaimSucceeded(row, RowVersion{5}, kNow, kNow));
   return owner;
 }
 
@@ -95,5 +95,60 @@
   CHECK(owner.AuthorityAt(kNow + 100ms) == Authority::kNone);
 }
 
+// Guards against a stale owner (review/11): it took the row of the instance
+// that had claimed the cell from it for its own, kept renewing it, and started
+// nothing, so that every accepted job stood.
+TEST_CASE("a claim that is confirmed after another one has no effect") {
+  Ownership stale(kSettings, InstanceId{"stale"}, 0, kNow - 1min);
+  stale.HandleMissingOwnerRow(kNow);
+  const OwnerRow own{InstanceId{"stale"}, Epoch{2, 0}, 1, {}};
+  const OwnerRow newer{InstanceId{"next"}, Epoch{3, 0}, 1, {}};
+  REQUIRE(std::holds_alternative<ClaimCell>(stale.Next(kNow)));
+  SECTION("the rows of others arrive first") {
+    stale.HandleOwnerRow(newer, RowVersion{6}, kNow + 1s);
+    SECTION("one write of the next owner") {}
+    SECTION("two owners later") {
+      stale.HandleOwnerRow({InstanceId{"third"}, Epoch{4, 0}, 1, {}},
+                           RowVersion{7}, kNow + 1100ms);
+    }
+    SECTION("the next owner has released the cell") {
+      stale.HandleOwnerRow({InstanceId{}, Epoch{3, 0}, 2, {}}, RowVersion{7},
+                           kNow + 1100ms);
+    }
+  }
+  SECTION("its own row and then another's arrive first") {
+    stale.HandleOwnerRow(own, RowVersion{5}, kNow + 1s);
+    stale.HandleOwnerRow(newer, RowVersion{6}, kNow + 1100ms);
+  }
+  const OwnerRow known = stale.row();
+  const RowVersion version = stale.version();
+  CHECK_FALSE(stale.ClaimSucceeded(own, RowVersion{5}, kNow, kNow + 1200ms));
+  CHECK_FALSE(stale.owned());
+  CHECK(stale.AuthorityAt(kNow + 1200ms) == Authority::kNone);
+  CHECK(stale.row() == known);
+  CHECK(stale.version() == version);
+  CHECK(std::holds_alternative<Wait>(stale.Next(kNow + 1200ms)));
+}
+
+TEST_CASE("a claim that the watch shows before its confirmation succeeds") {
+  Ownership owner(kSettings, kRow.owner, 0, kNow - 1min);
+  owner.HandleMissingOwnerRow(kNow);
+  owner.HandleOwnerRow(kRow, RowVersion{5}, kNow + 10ms);
+  CHECK(owner.ClaimSucceeded(kRow, RowVersion{5}, kNow, kNow + 20ms));
+  CHECK(owner.epoch() == kRow.epoch);
+}
+
+TEST_CASE("a write confirmed after the cell was lost gives no authority") {
+  Ownership owner = MakeOwner(kRow);
+  const OwnerRow taken{InstanceId{"next"}, Epoch{4, 0}, 1, {}};
+  owner.HandleOwnerRow(taken, RowVersion{9}, kNow + 100ms);
+  OwnerRow renewed = owner.RenewedRow(kNow + 50ms);
+  renewed.owner = kRow.owner;
+  renewed.epoch = kRow.epoch;
+  owner.WriteSucceeded(renewed, RowVersion{8}, kNow + 50ms);
+  CHECK(owner.AuthorityAt(kNow + 100ms) == Authority::kNone);
+  CHECK(owner.row() == taken);
+}
+
 }  // namespace
 }  // namespace jasminespar::jobs
