--- a/packages/jobs/include/jasminespar/jobs/messages.h
+++ b/packages/jobs/include/jasminespar/jobs/messages.h
@@ -340,11 +340,58 @@
   Duration age{};  ///< Age of the job, or time since the worker last answered.
 };
 
-/// The table rejects commits of any size, so this owner cannot go on.
-struct ResignOwnership {};
+/// A part of the dispatcher's work.
+enum class DispatcherStage : std::uint8_t {
+  kInput,
+  kLeases,
+  kPlans,
+  kPolls,
+  kOrders,
+  kStalledRuns,
+  kDepartures,
+  kGangs,
+  kStarts,
+  kRetention,
+  kCommit,
+};
+
+inline constexpr NameTable<DispatcherStage, 11> kDispatcherStageNames{{
+    {DispatcherStage::kInput, "input", "One input was handled in part."},
+    {DispatcherStage::kLeases, "leases", "Leases that have expired."},
+    {DispatcherStage::kPlans, "plans", "Plans of preemption."},
+    {DispatcherStage::kPolls, "polls", "Polls of workers."},
+    {DispatcherStage::kOrders, "orders", "Orders that are sent again."},
+    {DispatcherStage::kStalledRuns, "stalled_runs", "Runs without progress."},
+    {DispatcherStage::kDepartures, "departures", "Workers that leave."},
+    {DispatcherStage::kGangs, "gangs", "Gangs that lack members."},
+    {DispatcherStage::kStarts, "starts", "Starts of waiting tasks."},
+    {DispatcherStage::kRetention, "retention", "Ended jobs."},
+    {DispatcherStage::kCommit, "commit", "What is written to the table."},
+}};
+static_assert(IsDense(kDispatcherStageNames));
+
+/// An unexpected exception ended a stage, or the part of it that concerns one
+/// job.
+struct StageFailed {
+  DispatcherStage stage = DispatcherStage::kInput;
+  JobId job;  ///< Empty if no single job is concerned.
+  std::string fault;
+};
+
+/// Why an owner cannot go on.
+enum class ResignCause : std::uint8_t {
+  kCommitsFail,  ///< None can be made, or the table rejects any size.
+  kStageFailed,  ///< An exception may have left its state incomplete.
+};
+
+/// This owner cannot go on. The next one begins from the table and the workers'
+/// reports.
+struct ResignOwnership {
+  ResignCause cause = ResignCause::kCommitsFail;
+};
 
 using DispatcherEffect =
-    std::variant<SendOrder, Commit, Decision, ResignOwnership>;
+    std::variant<SendOrder, Commit, Decision, StageFailed, ResignOwnership>;
 
 }  // namespace jasminespar::jobs
 
--- a/packages/jobs/src/commits.cc
+++ b/packages/jobs/src/commits.cc
@@ -44,11 +44,11 @@
     if (found != workers_.end()) found->second.enrolled = true;
   }
   for (const WorkerName& name : commit.departed) {
-    const auto found = workers_.find(name);
-    if (found == workers_.end() || found->second.listed) continue;
-    if (found->second.polls_in_flight > 0) continue;
-    paces_.Forget(name);
-    workers_.erase(found);
+    const WorkerState* worker = FindWorker(name);
+    if (worker == nullptr || worker->listed) continue;
+    // A report that came since may have shown a run.
+    if (worker->polls_in_flight > 0 || !worker->placed_runs.empty()) continue;
+    EraseWorker(name);
   }
   HandleQueuesCommitted(commit);
   for (auto& [name, worker] : workers_) {
@@ -62,7 +62,7 @@
   if (rejected.commit.value != last_commit_ || !commit_in_flight_) return;
   const Commit commit = *std::exchange(commit_in_flight_, std::nullopt);
   if (max_row_bytes_ <= kMinRowBytes) {
-    effects_.emplace_back(ResignOwnership{});
+    effects_.emplace_back(ResignOwnership{ResignCause::kCommitsFail});
     return;
   }
   // What was in the commit is durable only after several others.
--- a/packages/jobs/src/dispatcher.cc
+++ b/packages/jobs/src/dispatcher.cc
@@ -1,12 +1,37 @@
 #include "jasminespar/jobs/dispatcher.h"
 
 #include <algorithm>
+#include <array>
 #include <utility>
 
 #include "dispatcher_impl.h"
 
 namespace jasminespar::jobs {
 
+namespace {
+
+/// A stage of each decision.
+struct DecisionStage {
+  DispatcherStage stage;
+  bool needs_load;  ///< It is left out until the cell is loaded.
+};
+
+/// In the order in which a decision runs them.
+constexpr std::array kDecisionStages{
+    DecisionStage{DispatcherStage::kLeases, false},
+    DecisionStage{DispatcherStage::kPlans, false},
+    DecisionStage{DispatcherStage::kPolls, true},
+    DecisionStage{DispatcherStage::kOrders, true},
+    DecisionStage{DispatcherStage::kStalledRuns, true},
+    DecisionStage{DispatcherStage::kDepartures, true},
+    DecisionStage{DispatcherStage::kGangs, true},
+    DecisionStage{DispatcherStage::kStarts, true},
+    DecisionStage{DispatcherStage::kRetention, false},
+    DecisionStage{DispatcherStage::kCommit, false},
+};
+
+}  // namespace
+
 void Dispatcher::Impl::FinishLoading(TimePoint now) {
   loaded_ = true;
   loaded_at_ = now;
@@ -19,34 +44,39 @@
 }
 
 void Dispatcher::Impl::Handle(DispatcherInput input, const Now& now) {
-  std::visit([&](auto& message) { On(std::move(message), now); }, input);
+  Attempt(DispatcherStage::kInput, std::nullopt, [&] {
+    std::visit([&](auto& message) { On(std::move(message), now); }, input);
+  });
 }
 
 void Dispatcher::Impl::Decide(Authority authority, const Now& now) {
   if (authority == Authority::kNone) return;
-  ExpireLeases(now);
-  if (loaded_) {
-    PollWorkers(now);
-    for (auto& [name, worker] : workers_) RetryOrders(worker, now);
-    StopStalledRuns(now);
-    StopDepartingRuns(now);
-    StopIncompleteGangs(now);
-    const bool list_current =
-        now.steady - worker_list_as_of_ < kMaxWorkerListAge;
-    const bool known = now.steady < evacuations_.KnownUntil();
-    if (authority == Authority::kFull && list_current && known) {
-      StartWaitingTasks(now);
-    }
+  for (const DecisionStage& each : kDecisionStages) {
+    if (each.needs_load && !loaded_) continue;
+    Attempt(each.stage, std::nullopt,
+            [&] { RunStage(each.stage, authority, now); });
   }
-  ForgetOldJobs(now);
-  SendCommit(now);
+}
+
+bool Dispatcher::Impl::MayStartTasks(Authority authority,
+                                     const Now& now) const {
+  return authority == Authority::kFull &&
+         now.steady - worker_list_as_of_ < kMaxWorkerListAge &&
+         now.steady < evacuations_.KnownUntil();
 }
 
 void Dispatcher::Impl::On(JobLoaded found, const Now& now) {
   const JobId id = found.job.id;
   if (jobs_.contains(id)) return;
-  JobState& job =
-      jobs_.emplace(id, MakeJobState(std::move(found), now)).first->second;
+  try {
+    jobs_.emplace(id, MakeJobState(std::move(found), now));
+  } catch (const std::exception& error) {
+    // It cannot be held in memory. Nothing else has changed.
+    effects_.emplace_back(
+        StageFailed{DispatcherStage::kInput, id, error.what()});
+    return;
+  }
+  JobState& job = jobs_.at(id);
   if (!job.live()) {
     AdoptReportedRuns(job, now);
     return;
@@ -172,6 +202,17 @@
   return found == jobs_.end() ? nullptr : &found->second;
 }
 
+WorkerState* Dispatcher::Impl::FindWorker(const WorkerName& name) {
+  const auto found = workers_.find(name);
+  return found == workers_.end() ? nullptr : &found->second;
+}
+
+void Dispatcher::Impl::EraseWorker(const WorkerName& name) {
+  CancelPlansOn(name);
+  paces_.Forget(name);
+  workers_.erase(name);
+}
+
 bool Dispatcher::Impl::AllWorkersReconciled() const {
   return std::all_of(workers_.begin(), workers_.end(),
                      [](const auto& entry) { return entry.second.reconciled; });
--- a/packages/jobs/src/dispatcher_impl.h
+++ b/packages/jobs/src/dispatcher_impl.h
@@ -8,6 +8,7 @@
 #include <algorithm>
 #include <cstddef>
 #include <cstdint>
+#include <exception>
 #include <map>
 #include <memory>
 #include <optional>
@@ -29,6 +30,13 @@
 
 namespace jasminespar::jobs {
 
+/// Workers whose resources are reserved for a step that reclaims them.
+struct ReclaimPlan {
+  std::vector<WorkerName> workers;  ///< One for each waiting task.
+  Resources need;                   ///< Of each task.
+  TimePoint made_at;
+};
+
 /// A step with waiting tasks and its keys in the order of service.
 struct WaitingStep {
   JobState* job = nullptr;
@@ -84,6 +92,25 @@
     std::size_t bytes = 0;  ///< Of its progress.
   };
 
+  // failures.cc: unexpected exceptions.
+  /// Runs a stage, or the part of it that concerns one job; an exception ends
+  /// only that part.
+  /// @param job nothing: the stage as a whole.
+  /// @return whether it was completed.
+  template <typename Part>
+  bool Attempt(DispatcherStage stage, const std::optional<JobId>& job,
+               Part part) {
+    try {
+      part();
+      return true;
+    } catch (const std::exception& error) {
+      RecordFailure({stage, job.value_or(JobId{}), error.what()});
+      return false;
+    }
+  }
+  void RecordFailure(StageFailed failure);
+  void RunStage(DispatcherStage stage, Authority authority, const Now& now);
+
   // dispatcher.cc: inputs.
   void On(JobLoaded found, const Now& now);
   void On(const JobCancelled& cancelled, const Now& now);
@@ -357,11 +384,20 @@
   /// Chooses workers for a step at the least loss, reserves them as the step's
   /// plan and stops the victims; postpones this if the loss is too large yet.
   void Reclaim(JobState& job, StepState& step, const Now& now);
+  /// @return the step's key in `plans_`.
+  [[nodiscard]] static TaskName PlanKeyOf(const JobState& job,
+                                          const StepState& step) {
+    return {job.job.id, step.occurrence, step.step, 0};
+  }
   /// Starts the step on its planned workers once these have room; cancels a
-  /// plan that is too old or no longer fits.
+  /// plan that no longer fits its waiting tasks.
   /// @return whether the step was started.
   bool StartPlanned(JobState& job, StepState& step, const Now& now);
-  void CancelPlan(JobState& job, StepState& step);
+  /// Releases what the plan reserved, if there is one.
+  void CancelPlan(const TaskName& key);
+  /// Cancels plans that are too old, or whose workers get no new work.
+  void CancelStalePlans(const Now& now);
+  void CancelPlansOn(const WorkerName& worker);
   /// @return whether the account's guarantee covers the step's waiting tasks on
   ///     top of its runs of priority 0.
   [[nodiscard]] bool IsWithinGuarantee(const JobState& job,
@@ -390,10 +426,15 @@
   static void MoveOverdueFirst(std::vector<WaitingStep>& waiting);
 
   [[nodiscard]] JobState* FindJob(const JobId& id);
+  [[nodiscard]] WorkerState* FindWorker(const WorkerName& name);
+  /// Forgets a worker that nothing runs on, and the plans that name it.
+  void EraseWorker(const WorkerName& name);
   [[nodiscard]] StepState& StepOf(JobState& job, const TaskName& name) {
     return job.StepAt(name.occurrence, name.step);
   }
   [[nodiscard]] bool AllWorkersReconciled() const;
+  /// @return whether new work may start now.
+  [[nodiscard]] bool MayStartTasks(Authority authority, const Now& now) const;
   /// Makes a placed run the current one of its waiting task.
   static void Activate(StepState& step, TaskState& task,
                        const WorkerState& worker, RunNumber run);
@@ -425,6 +466,7 @@
   std::set<JobId> live_;  ///< Jobs that have not ended.
   std::map<JobId, EarlyCancellation> cancelled_early_;
   WorkerMap workers_;
+  std::map<TaskName, ReclaimPlan> plans_;  ///< By the step's first task.
   /// Workers that new work may be placed on; of the present decision only.
   std::vector<WorkerState*> usable_;
   WorkerPaces paces_;
--- a/packages/jobs/src/job_table.h
+++ b/packages/jobs/src/job_table.h
@@ -37,9 +37,6 @@
   std::vector<TaskState> tasks;
   std::uint32_t done = 0;
   std::uint32_t active = 0;
-  /// Worker reserved by a reclaim for each waiting task; empty: no plan.
-  std::vector<WorkerName> plan;
-  TimePoint planned_at;
   TimePoint next_reclaim;
   /// When the last start of one of its tasks was confirmed.
   TimePoint last_confirmed_at;
@@ -65,6 +62,7 @@
   /// Whether an earlier owner may have started tasks that are in no report yet.
   bool may_have_unlisted_runs = false;
   std::vector<StepState> steps;  ///< Ordered by occurrence, then by step.
+  TimePoint set_aside_until;     ///< A decision about it has failed.
   TimePoint loaded_at;
   TimePoint final_at;
   Duration age_when_loaded{};
--- a/packages/jobs/src/reclaim.cc
+++ b/packages/jobs/src/reclaim.cc
@@ -174,11 +174,12 @@
     step.next_reclaim = now.steady + kReclaimRetryInterval;
     return;
   }
-  step.planned_at = now.steady;
+  ReclaimPlan& plan = plans_[PlanKeyOf(job, step)];
+  plan = {{}, need, now.steady};
   for (const Offer& offer : chosen) {
-    for (std::uint32_t i = 0; i < offer.tasks && step.plan.size() < tasks;
+    for (std::uint32_t i = 0; i < offer.tasks && plan.workers.size() < tasks;
          ++i) {
-      step.plan.push_back(offer.worker->entry.name);
+      plan.workers.push_back(offer.worker->entry.name);
       offer.worker->reserved += need;
     }
     for (const TaskName& victim : offer.victims) {
@@ -198,40 +199,68 @@
 
 bool Dispatcher::Impl::StartPlanned(JobState& job, StepState& step,
                                     const Now& now) {
-  const Resources need = NeedOf(job.SpecOf(step));
-  std::map<WorkerName, std::uint32_t> wanted;
-  for (const WorkerName& name : step.plan) ++wanted[name];
-  bool usable = now.steady - step.planned_at < kPlanTimeout;
-  bool ready = true;
-  for (const auto& [name, count] : wanted) {
-    const WorkerState& worker = workers_.at(name);
-    usable = usable && IsUsable(worker, now.steady);
-    ready = ready && CountFitting(need, worker.unused(), count) >= count;
-  }
-  const std::size_t waiting = step.tasks.size() - step.done - step.active;
-  if (!usable || waiting != step.plan.size()) {
-    CancelPlan(job, step);
+  const TaskName key = PlanKeyOf(job, step);
+  const ReclaimPlan plan = plans_.at(key);
+  if (step.tasks.size() - step.done - step.active != plan.workers.size()) {
+    CancelPlan(key);
     return false;
   }
-  if (!ready) return false;
-  const std::vector<WorkerName> plan = step.plan;
-  CancelPlan(job, step);
+  std::vector<WorkerState*> chosen;
+  std::map<WorkerState*, std::uint32_t> wanted;
+  for (const WorkerName& name : plan.workers) {
+    WorkerState* worker = FindWorker(name);
+    if (worker == nullptr) return false;  // The next decision cancels the plan.
+    chosen.push_back(worker);
+    ++wanted[worker];
+  }
+  for (const auto& [worker, count] : wanted) {
+    if (CountFitting(plan.need, worker->unused(), count) < count) return false;
+  }
+  CancelPlan(key);
   const bool gang = job.SpecOf(step).gang;
   const RunNumber shared = gang ? NextRun() : RunNumber{};
-  std::size_t next = 0;
+  auto next = chosen.begin();
   for (std::uint32_t i = 0; i < step.tasks.size(); ++i) {
     if (step.tasks[i].phase != TaskPhase::kWaiting) continue;
-    StartTask(job, step, i, workers_.at(plan[next++]),
-              gang ? shared : NextRun(), now);
+    StartTask(job, step, i, **next++, gang ? shared : NextRun(), now);
   }
   return true;
 }
 
-void Dispatcher::Impl::CancelPlan(JobState& job, StepState& step) {
-  const Resources need = NeedOf(job.SpecOf(step));
-  for (const WorkerName& name : std::exchange(step.plan, {})) {
-    workers_.at(name).reserved -= need;
+void Dispatcher::Impl::CancelPlan(const TaskName& key) {
+  const auto found = plans_.find(key);
+  if (found == plans_.end()) return;
+  for (const WorkerName& name : found->second.workers) {
+    WorkerState* worker = FindWorker(name);
+    if (worker != nullptr) worker->reserved -= found->second.need;
+  }
+  plans_.erase(found);
+}
+
+void Dispatcher::Impl::CancelStalePlans(const Now& now) {
+  std::vector<TaskName> stale;
+  for (const auto& [key, plan] : plans_) {
+    const bool usable = std::all_of(
+        plan.workers.begin(), plan.workers.end(), [&](const WorkerName& name) {
+          const WorkerState* worker = FindWorker(name);
+          return worker != nullptr && IsUsable(*worker, now.steady);
+        });
+    if (!usable || now.steady - plan.made_at >= kPlanTimeout) {
+      stale.push_back(key);
+    }
+  }
+  for (const TaskName& key : stale) CancelPlan(key);
+}
+
+void Dispatcher::Impl::CancelPlansOn(const WorkerName& worker) {
+  std::vector<TaskName> naming;
+  for (const auto& [key, plan] : plans_) {
+    if (std::find(plan.workers.begin(), plan.workers.end(), worker) !=
+        plan.workers.end()) {
+      naming.push_back(key);
+    }
   }
+  for (const TaskName& key : naming) CancelPlan(key);
 }
 
 }  // namespace jasminespar::jobs
--- a/packages/jobs/src/run_ends.cc
+++ b/packages/jobs/src/run_ends.cc
@@ -100,7 +100,7 @@
     mark(task);
   }
   if (known) return;
-  if (step.finished()) CancelPlan(job, step);
+  if (step.finished()) CancelPlan(PlanKeyOf(job, step));
   const bool finished =
       std::all_of(job.steps.begin(), job.steps.end(),
                   [](const StepState& each) { return each.finished(); });
@@ -169,7 +169,7 @@
   job.status_dirty = true;
   MarkDirty(job, 0);
   live_.erase(job.job.id);
-  for (StepState& step : job.steps) CancelPlan(job, step);
+  for (const StepState& step : job.steps) CancelPlan(PlanKeyOf(job, step));
   // The remaining members of a completed gang end on their own.
   if (phase != JobPhase::kCompleted) StopRunsOf(job.job.id, now);
 }
@@ -189,10 +189,11 @@
     const TaskState& member = step.tasks[i];
     if (member.phase != TaskPhase::kActive || member.run != run) continue;
     const TaskName name{job.job.id, step.occurrence, step.step, i};
-    WorkerState& worker = workers_.at(member.worker);
-    const auto held = worker.placed_runs.find(name);
-    if (held == worker.placed_runs.end()) continue;
-    BeginStop(worker, name, held->second, cause, now);
+    WorkerState* worker = FindWorker(member.worker);
+    if (worker == nullptr) continue;
+    const auto held = worker->placed_runs.find(name);
+    if (held == worker->placed_runs.end()) continue;
+    BeginStop(*worker, name, held->second, cause, now);
   }
 }
 
--- a/packages/jobs/src/stalled_runs.cc
+++ b/packages/jobs/src/stalled_runs.cc
@@ -85,9 +85,10 @@
 PlacedRun* Dispatcher::Impl::FindRunning(const TaskName& name,
                                          const TaskState& task) {
   if (task.phase != TaskPhase::kActive) return nullptr;
-  WorkerState& worker = workers_.at(task.worker);
-  const auto found = worker.placed_runs.find(name);
-  if (found == worker.placed_runs.end()) return nullptr;
+  WorkerState* worker = FindWorker(task.worker);
+  if (worker == nullptr) return nullptr;
+  const auto found = worker->placed_runs.find(name);
+  if (found == worker->placed_runs.end()) return nullptr;
   PlacedRun& placed = found->second;
   const bool running =
       placed.run == task.run && placed.phase == PlacedRunPhase::kRunning;
--- a/packages/jobs/src/starts.cc
+++ b/packages/jobs/src/starts.cc
@@ -26,6 +26,9 @@
 /// racks have room for the step twice over.
 constexpr Duration kMaxRackWaitWithRoom = 2s;
 
+/// A job whose decision failed is left out of the decisions for this long.
+constexpr Duration kFailedJobPause = 1s;
+
 /// An occurrence starts this long after it is due on the local clock, because
 /// the clocks of instances differ slightly.
 constexpr std::uint64_t kDueMarginMs = 20;
@@ -40,7 +43,9 @@
   unplaced_.Clear();
   bool all_started = true;
   for (const WaitingStep& waiting : CollectWaitingSteps(now)) {
-    TryStartStep(waiting, now);
+    const bool decided = Attempt(DispatcherStage::kStarts, waiting.job->job.id,
+                                 [&] { TryStartStep(waiting, now); });
+    if (!decided) waiting.job->set_aside_until = now.steady + kFailedJobPause;
     all_started = all_started && !waiting.step->waiting();
   }
   room_short_ = !all_started;
@@ -73,6 +78,7 @@
 bool Dispatcher::Impl::MayStart(JobState& job, const StepState& step,
                                 const Now& now) {
   if (job.may_have_unlisted_runs && !all_reconciled_) return false;
+  if (now.steady < job.set_aside_until) return false;
   if (job.queue.service.value.empty()) return false;
   const WallTime due = DueOf(job, step);
   if (due.value != 0 && now.wall.value < due.value + kDueMarginMs) {
@@ -127,8 +133,9 @@
   StepState& step = *waiting.step;
   const bool gang = job.SpecOf(step).gang;
   if (gang && step.active > 0) return;  // Its previous run has not ended.
-  if (!step.plan.empty() && StartPlanned(job, step, now)) return;
-  if (!step.plan.empty()) return;
+  const TaskName key = PlanKeyOf(job, step);
+  if (plans_.contains(key) && StartPlanned(job, step, now)) return;
+  if (plans_.contains(key)) return;
   if (gang ? StartGang(job, step, now) : StartTasks(job, step, now)) return;
   if (job.queue.priority != 0 || now.steady < step.next_reclaim) return;
   if (job.AgeAt(now.steady) < kReclaimDelay) return;
--- a/packages/jobs/src/worker_polls.cc
+++ b/packages/jobs/src/worker_polls.cc
@@ -152,8 +152,9 @@
       worker.has_unhandled_ends = true;
       return false;
     }
-    worker.processed_to = end.number;
     HandleRunEnd(worker, end, now);
+    // Only now: an end whose handling failed is handled again.
+    worker.processed_to = end.number;
   }
   return !report.more_ends;
 }
--- a/packages/jobserver/include/jasminespar/jobserver/dispatch_duty.h
+++ b/packages/jobserver/include/jasminespar/jobserver/dispatch_duty.h
@@ -90,7 +90,8 @@
   void PerformEffect(jobs::SendOrder& order);
   void PerformEffect(jobs::Commit& commit);
   void PerformEffect(jobs::Decision& decision);
-  void PerformEffect(jobs::ResignOwnership&);
+  void PerformEffect(jobs::StageFailed& failure);
+  void PerformEffect(jobs::ResignOwnership& resign);
 
   /// Claims, renews or releases the cell if that is due and no owner write is
   /// in flight.
@@ -102,6 +103,8 @@
   void DeleteCellRows(const std::vector<jobs::ForgottenJob>& jobs);
   /// Adds the owner row, as condition and as write, and sends the transaction.
   void SendOwnerWrite(OwnerWrite write);
+  [[nodiscard]] static site::Transaction EncodeCommit(
+      const jobs::Commit& commit);
   void SendNextCommit();
   /// Sends the owner write in flight, for the first time or again.
   void SendInFlightWrite();
@@ -112,6 +115,8 @@
   /// @param row that claimed the cell.
   void BeginEpoch(const jobs::OwnerRow& row);
   void StepDown();
+  /// Gives the cell up if a stage has failed, but not too often.
+  void ResignIfDue();
   /// @return the owner row's version when it is the result of the write in
   ///     flight; nothing otherwise.
   [[nodiscard]] std::optional<jobs::RowVersion> FindOwnVersion(
@@ -140,6 +145,8 @@
   bool decision_scheduled_ = false;
   bool release_requested_ = false;
   TimePoint claimed_at_;
+  std::optional<TimePoint> resigned_at_;  ///< Because a stage failed.
+  bool stage_failed_ = false;             ///< In this epoch.
   std::atomic<bool> owns_{false};
 };
 
--- a/packages/jobserver/src/dispatch_duty.cc
+++ b/packages/jobserver/src/dispatch_duty.cc
@@ -203,6 +203,7 @@
 }
 
 void DispatchDuty::Tick() {
+  ResignIfDue();
   AdvanceOwnership();
   if (dispatcher_ != nullptr) ScheduleDecision();
 }
@@ -239,6 +240,7 @@
 
 void DispatchDuty::PerformEffects(std::vector<jobs::DispatcherEffect> effects) {
   for (jobs::DispatcherEffect& effect : effects) {
+    if (dispatcher_ == nullptr) return;  // An effect ended the ownership.
     std::visit([this](auto& alternative) { PerformEffect(alternative); },
                effect);
   }
@@ -256,6 +258,14 @@
   SendNextCommit();
 }
 
+void DispatchDuty::PerformEffect(jobs::StageFailed& failure) {
+  log_.Log(Event::kInternalError,
+           {{"duty", "dispatch"},
+            {"stage", RowOf(jobs::kDispatcherStageNames, failure.stage).name},
+            {"id", failure.job.value},
+            {"fault", failure.fault}});
+}
+
 void DispatchDuty::PerformEffect(jobs::Decision& decision) {
   log_.Log(Event::kJobDecision,
            {{"id", decision.task.job.value},
--- a/packages/jobserver/src/owner_writes.cc
+++ b/packages/jobserver/src/owner_writes.cc
@@ -3,6 +3,7 @@
 /// is conditional on the version of the owner row and changes that row, and at
 /// most one is in flight.
 
+#include <exception>
 #include <utility>
 
 #include "jasminespar/core/error.h"
@@ -23,6 +24,10 @@
 /// with the same owner row.
 constexpr Duration kOwnerWriteTimeout = 2s;
 
+/// Between two resignations of this instance because a stage failed: what fails
+/// under every owner must not keep the cell without one.
+constexpr Duration kResignInterval = 60s;
+
 /// Long, because nothing waits for these deletes.
 constexpr Duration kJobRowDeleteTimeout = 10s;
 
@@ -63,14 +68,9 @@
              ownership_.Next(now));
 }
 
-void DispatchDuty::SendNextCommit() {
-  if (in_flight_ || !pending_commit_) return;
-  const jobs::Commit commit = *std::exchange(pending_commit_, std::nullopt);
-  OwnerWrite write;
-  write.kind = OwnerWrite::Kind::kCommit;
-  write.commit = commit.commit;
-  write.row = ownership_.RenewedRow(runtime::SteadyNow());
-  std::vector<site::Row>& rows = write.transaction.writes;
+site::Transaction DispatchDuty::EncodeCommit(const jobs::Commit& commit) {
+  site::Transaction transaction;
+  std::vector<site::Row>& rows = transaction.writes;
   for (const jobs::JobProgress& progress : commit.progress) {
     rows.push_back({ProgressRowKey(progress.job, progress.first_task),
                     protocol::Encode(progress),
@@ -86,7 +86,7 @@
         {QueueRowKey(record.queue.name), protocol::Encode(record), {}});
   }
   for (const jobs::QueueId& queue : commit.unused_queues) {
-    write.transaction.deletes.push_back(QueueRowKey(queue));
+    transaction.deletes.push_back(QueueRowKey(queue));
   }
   for (const jobs::WorkerEnrolled& worker : commit.enrolled) {
     rows.push_back({CellRowKey(kWorkerTable, worker.name.value),
@@ -94,7 +94,26 @@
                     {}});
   }
   for (const jobs::WorkerName& worker : commit.departed) {
-    write.transaction.deletes.push_back(CellRowKey(kWorkerTable, worker.value));
+    transaction.deletes.push_back(CellRowKey(kWorkerTable, worker.value));
+  }
+  return transaction;
+}
+
+void DispatchDuty::SendNextCommit() {
+  if (in_flight_ || !pending_commit_) return;
+  const jobs::Commit commit = *std::exchange(pending_commit_, std::nullopt);
+  OwnerWrite write;
+  write.kind = OwnerWrite::Kind::kCommit;
+  write.commit = commit.commit;
+  write.row = ownership_.RenewedRow(runtime::SteadyNow());
+  try {
+    write.transaction = EncodeCommit(commit);
+  } catch (const std::exception& error) {
+    // Unanswered, it would be the last one of this owner.
+    log_.Log(Event::kInternalError,
+             {{"duty", "dispatch"}, {"fault", error.what()}});
+    HandleInput(jobs::CommitRejected{commit.commit});
+    return;
   }
   DeleteCellRows(commit.forgotten);
   for (std::size_t i = 0;
@@ -230,11 +249,25 @@
   StepDown();
 }
 
-void DispatchDuty::PerformEffect(jobs::ResignOwnership&) {
+void DispatchDuty::PerformEffect(jobs::ResignOwnership& resign) {
+  if (resign.cause == jobs::ResignCause::kStageFailed) {
+    stage_failed_ = true;
+    ResignIfDue();
+    return;
+  }
   ownership_.HandleOwnershipLost(runtime::SteadyNow());
   StepDown();
 }
 
+void DispatchDuty::ResignIfDue() {
+  const TimePoint now = runtime::SteadyNow();
+  const bool too_soon = resigned_at_ && now - *resigned_at_ < kResignInterval;
+  if (!stage_failed_ || too_soon) return;
+  resigned_at_ = now;
+  ownership_.HandleOwnershipLost(now);
+  StepDown();
+}
+
 void DispatchDuty::HandleOwnerWriteSuccess(jobs::RowVersion version) {
   const OwnerWrite write = *std::exchange(in_flight_, std::nullopt);
   const TimePoint now = runtime::SteadyNow();
@@ -280,6 +313,7 @@
             {"others_renew_ms", ToMilliseconds(row.predecessors.renew)},
             {"others_start_ms", ToMilliseconds(row.predecessors.start)}});
   pending_commit_.reset();
+  stage_failed_ = false;
   dispatcher_ = std::make_unique<jobs::Dispatcher>(settings_, row.epoch,
                                                    row.predecessors);
   owns_ = true;
--- a/tests/jobs/dispatcher_fixture.h
+++ b/tests/jobs/dispatcher_fixture.h
@@ -12,6 +12,7 @@
 #include <utility>
 #include <vector>
 
+#include "failing_allocation.h"
 #include "jasminespar/core/overloaded.h"
 #include "jasminespar/jobs/dispatcher.h"
 
@@ -102,7 +103,7 @@
       now.wall.value += static_cast<std::uint64_t>(ToMilliseconds(tick));
       if (list_confirmed) Feed(WorkerListConfirmed{now.steady});
       if (jobs_confirmed) Feed(JobRowsConfirmed{now.steady});
-      ApplyEffects(dispatcher.Decide(authority, now));
+      ApplyEffects(Decide(authority));
     }
   }
 
@@ -200,6 +201,10 @@
   std::vector<SendOrder> starts;
   std::vector<SendOrder> stops;
   std::vector<Decision> decisions;
+  std::vector<StageFailed> failures;
+  /// In each decision; from 0.
+  std::optional<int> fail_allocation;
+  bool allocation_failed = false;
   std::size_t stops_sent = 0;
   /// Unset: the test answers stops.
   std::optional<OrderOutcome> answer_stops_with;
@@ -226,6 +231,14 @@
   std::uint64_t acknowledged = 0;  ///< Last ended run that a poll acknowledged.
 
  private:
+  std::vector<DispatcherEffect> Decide(Authority authority) {
+    if (!fail_allocation) return dispatcher.Decide(authority, now);
+    const FailingAllocation failing(*fail_allocation);
+    std::vector<DispatcherEffect> effects = dispatcher.Decide(authority, now);
+    allocation_failed = allocation_failed || failing.failed();
+    return effects;
+  }
+
   void ApplyEffects(std::vector<DispatcherEffect> effects) {
     for (DispatcherEffect& effect : effects) {
       std::visit(Overloaded{
@@ -234,6 +247,7 @@
                      [&](Decision& decision) {
                        decisions.push_back(std::move(decision));
                      },
+                     [&](StageFailed& failure) { failures.push_back(failure); },
                      [&](ResignOwnership&) { resigned = true; },
                  },
                  effect);
