--- a/packages/http/src/client.cc
+++ b/packages/http/src/client.cc
@@ -116,6 +116,16 @@
   }
 
  private:
+  /// A request that waits for a pool slot.
+  struct Waiter {
+    Waiter(asio::io_context& context, SteadyClock::time_point deadline)
+        : timer(context, deadline) {}
+    asio::steady_timer timer;
+    /// A slot is reserved for it. The wait's result does not tell: the deadline
+    /// may pass just before it is woken.
+    bool woken = false;
+  };
+
   /// Marks a connection as busy. Its destructor returns the connection to the
   /// pool if it is reusable, drops it otherwise, and wakes a waiting request.
   class BusyConnection {
@@ -143,13 +153,13 @@
   asio::awaitable<std::shared_ptr<Connection>> Acquire(
       SteadyClock::time_point deadline) {
     while (busy_.size() + reserved_slots_ >= max_connections_) {
-      auto timer = std::make_shared<asio::steady_timer>(context_, deadline);
-      waiters_.push_back(timer);
+      auto waiter = std::make_shared<Waiter>(context_, deadline);
+      waiters_.push_back(waiter);
       beast::error_code error;
-      co_await timer->async_wait(
+      co_await waiter->timer.async_wait(
           asio::redirect_error(asio::use_awaitable, error));
-      if (error != asio::error::operation_aborted) {
-        std::erase(waiters_, timer);
+      if (!waiter->woken) {
+        std::erase(waiters_, waiter);
         throw Error(Reason::kWorkerUnreachable, Verdict::kNotRun,
                     "timed out waiting for a free connection to " + host_);
       }
@@ -167,11 +177,11 @@
   /// Reserves the slot just freed for the first waiting request and resumes it.
   void WakeWaiter() {
     if (waiters_.empty()) return;
-    std::shared_ptr<asio::steady_timer> timer = waiters_.front();
+    std::shared_ptr<Waiter> waiter = waiters_.front();
     waiters_.pop_front();
     ++reserved_slots_;
-    timer->expires_at(SteadyClock::time_point::max());
-    timer->cancel();
+    waiter->woken = true;
+    waiter->timer.cancel();
   }
 
   asio::awaitable<void> Connect(Connection& connection,
@@ -254,7 +264,7 @@
   std::size_t reserved_slots_ = 0;
   std::set<std::shared_ptr<Connection>> busy_;
   std::vector<std::shared_ptr<Connection>> idle_;
-  std::deque<std::shared_ptr<asio::steady_timer>> waiters_;
+  std::deque<std::shared_ptr<Waiter>> waiters_;
 };
 
 Client::Client(asio::io_context& context, std::string host, std::uint16_t port,
