--- a/benchmark/owner_cost.cc
+++ b/benchmark/owner_cost.cc
@@ -168,6 +168,7 @@
                                                 now_));
                      },
                      [](jobs::Decision&) {},
+                     [](jobs::StageFailed&) {},
                      [](jobs::ResignOwnership&) {},
                  },
                  effect);
