Move plans of preemption into a class of their own

Change: ReclaimPlans (reclaim_plans.h) keeps the plans; the dispatcher decides which to make and starts what they are for. No decision changes.

--- a/packages/jobs/src/dispatcher.cc
+++ b/packages/jobs/src/dispatcher.cc
@@ -208,7 +208,7 @@
 }
 
 void Dispatcher::Impl::EraseWorker(const WorkerName& name) {
-  CancelPlansOn(name);
+  plans_.CancelOn(name, workers_);
   paces_.Forget(name);
   workers_.erase(name);
 }
--- a/packages/jobs/src/dispatcher_impl.h
+++ b/packages/jobs/src/dispatcher_impl.h
@@ -25,18 +25,12 @@
 #include "job_table.h"
 #include "pace_placement.h"
 #include "placement.h"
+#include "reclaim_plans.h"
 #include "unplaced_shapes.h"
 #include "worker_pool.h"
 
 namespace jasminespar::jobs {
 
-/// Workers whose resources are reserved for a step that reclaims them.
-struct ReclaimPlan {
-  std::vector<WorkerName> workers;  ///< One for each waiting task.
-  Resources need;                   ///< Of each task.
-  TimePoint made_at;
-};
-
 /// A step with waiting tasks and its keys in the order of service.
 struct WaitingStep {
   JobState* job = nullptr;
@@ -384,20 +378,10 @@
   /// Chooses workers for a step at the least loss, reserves them as the step's
   /// plan and stops the victims; postpones this if the loss is too large yet.
   void Reclaim(JobState& job, StepState& step, const Now& now);
-  /// @return the step's key in `plans_`.
-  [[nodiscard]] static TaskName PlanKeyOf(const JobState& job,
-                                          const StepState& step) {
-    return {job.job.id, step.occurrence, step.step, 0};
-  }
   /// Starts the step on its planned workers once these have room; cancels a
   /// plan that no longer fits its waiting tasks.
   /// @return whether the step was started.
   bool StartPlanned(JobState& job, StepState& step, const Now& now);
-  /// Releases what the plan reserved, if there is one.
-  void CancelPlan(const TaskName& key);
-  /// Cancels plans that are too old, or whose workers get no new work.
-  void CancelStalePlans(const Now& now);
-  void CancelPlansOn(const WorkerName& worker);
   /// @return whether the account's guarantee covers the step's waiting tasks on
   ///     top of its runs of priority 0.
   [[nodiscard]] bool IsWithinGuarantee(const JobState& job,
@@ -466,7 +450,7 @@
   std::set<JobId> live_;  ///< Jobs that have not ended.
   std::map<JobId, EarlyCancellation> cancelled_early_;
   WorkerMap workers_;
-  std::map<TaskName, ReclaimPlan> plans_;  ///< By the step's first task.
+  ReclaimPlans plans_;
   /// Workers that new work may be placed on; of the present decision only.
   std::vector<WorkerState*> usable_;
   WorkerPaces paces_;
--- a/packages/jobs/src/failures.cc
+++ b/packages/jobs/src/failures.cc
@@ -24,7 +24,7 @@
     case DispatcherStage::kLeases:
       return ExpireLeases(now);
     case DispatcherStage::kPlans:
-      return CancelStalePlans(now);
+      return plans_.CancelStale(workers_, now.steady);
     case DispatcherStage::kPolls:
       return PollWorkers(now);
     case DispatcherStage::kOrders:
--- a/packages/jobs/src/reclaim.cc
+++ b/packages/jobs/src/reclaim.cc
@@ -25,9 +25,6 @@
 /// Between two attempts to find room at an acceptable loss.
 constexpr Duration kReclaimRetryInterval = 200ms;
 
-/// A plan that has not led to a start within this time is dropped and remade.
-constexpr Duration kPlanTimeout = 2500ms;
-
 double CoresOf(const Resources& need) noexcept {
   return static_cast<double>(need.accelerators) * kCoresPerAccelerator +
          static_cast<double>(need.cpu_millicores) / kMillicoresPerCore;
@@ -174,13 +171,11 @@
     step.next_reclaim = now.steady + kReclaimRetryInterval;
     return;
   }
-  ReclaimPlan& plan = plans_[PlanKeyOf(job, step)];
-  plan = {{}, need, now.steady};
+  ReclaimPlan plan{{}, need, now.steady};
   for (const Offer& offer : chosen) {
     for (std::uint32_t i = 0; i < offer.tasks && plan.workers.size() < tasks;
          ++i) {
       plan.workers.push_back(offer.worker->entry.name);
-      offer.worker->reserved += need;
     }
     for (const TaskName& victim : offer.victims) {
       const auto held = offer.worker->placed_runs.find(victim);
@@ -195,14 +190,15 @@
       }
     }
   }
+  plans_.Add(ReclaimPlans::KeyOf(job, step), std::move(plan), workers_);
 }
 
 bool Dispatcher::Impl::StartPlanned(JobState& job, StepState& step,
                                     const Now& now) {
-  const TaskName key = PlanKeyOf(job, step);
-  const ReclaimPlan plan = plans_.at(key);
+  const TaskName key = ReclaimPlans::KeyOf(job, step);
+  const ReclaimPlan plan = *plans_.Find(key);
   if (step.tasks.size() - step.done - step.active != plan.workers.size()) {
-    CancelPlan(key);
+    plans_.Cancel(key, workers_);
     return false;
   }
   std::vector<WorkerState*> chosen;
@@ -216,7 +212,7 @@
   for (const auto& [worker, count] : wanted) {
     if (CountFitting(plan.need, worker->unused(), count) < count) return false;
   }
-  CancelPlan(key);
+  plans_.Cancel(key, workers_);
   const bool gang = job.SpecOf(step).gang;
   const RunNumber shared = gang ? NextRun() : RunNumber{};
   auto next = chosen.begin();
@@ -227,40 +223,4 @@
   return true;
 }
 
-void Dispatcher::Impl::CancelPlan(const TaskName& key) {
-  const auto found = plans_.find(key);
-  if (found == plans_.end()) return;
-  for (const WorkerName& name : found->second.workers) {
-    WorkerState* worker = FindWorker(name);
-    if (worker != nullptr) worker->reserved -= found->second.need;
-  }
-  plans_.erase(found);
-}
-
-void Dispatcher::Impl::CancelStalePlans(const Now& now) {
-  std::vector<TaskName> stale;
-  for (const auto& [key, plan] : plans_) {
-    const bool usable = std::all_of(
-        plan.workers.begin(), plan.workers.end(), [&](const WorkerName& name) {
-          const WorkerState* worker = FindWorker(name);
-          return worker != nullptr && IsUsable(*worker, now.steady);
-        });
-    if (!usable || now.steady - plan.made_at >= kPlanTimeout) {
-      stale.push_back(key);
-    }
-  }
-  for (const TaskName& key : stale) CancelPlan(key);
-}
-
-void Dispatcher::Impl::CancelPlansOn(const WorkerName& worker) {
-  std::vector<TaskName> naming;
-  for (const auto& [key, plan] : plans_) {
-    if (std::find(plan.workers.begin(), plan.workers.end(), worker) !=
-        plan.workers.end()) {
-      naming.push_back(key);
-    }
-  }
-  for (const TaskName& key : naming) CancelPlan(key);
-}
-
 }  // namespace jasminespar::jobs
--- a/packages/jobs/src/run_ends.cc
+++ b/packages/jobs/src/run_ends.cc
@@ -100,7 +100,7 @@
     mark(task);
   }
   if (known) return;
-  if (step.finished()) CancelPlan(PlanKeyOf(job, step));
+  if (step.finished()) plans_.Cancel(ReclaimPlans::KeyOf(job, step), workers_);
   const bool finished =
       std::all_of(job.steps.begin(), job.steps.end(),
                   [](const StepState& each) { return each.finished(); });
@@ -169,7 +169,9 @@
   job.status_dirty = true;
   MarkDirty(job, 0);
   live_.erase(job.job.id);
-  for (const StepState& step : job.steps) CancelPlan(PlanKeyOf(job, step));
+  for (const StepState& step : job.steps) {
+    plans_.Cancel(ReclaimPlans::KeyOf(job, step), workers_);
+  }
   // The remaining members of a completed gang end on their own.
   if (phase != JobPhase::kCompleted) StopRunsOf(job.job.id, now);
 }
--- a/packages/jobs/src/starts.cc
+++ b/packages/jobs/src/starts.cc
@@ -133,9 +133,9 @@
   StepState& step = *waiting.step;
   const bool gang = job.SpecOf(step).gang;
   if (gang && step.active > 0) return;  // Its previous run has not ended.
-  const TaskName key = PlanKeyOf(job, step);
-  if (plans_.contains(key) && StartPlanned(job, step, now)) return;
-  if (plans_.contains(key)) return;
+  const TaskName key = ReclaimPlans::KeyOf(job, step);
+  if (plans_.Find(key) != nullptr && StartPlanned(job, step, now)) return;
+  if (plans_.Find(key) != nullptr) return;
   if (gang ? StartGang(job, step, now) : StartTasks(job, step, now)) return;
   if (job.queue.priority != 0 || now.steady < step.next_reclaim) return;
   if (job.AgeAt(now.steady) < kReclaimDelay) return;
