--- a/tests/succession_model/instances.cc
+++ b/tests/succession_model/instances.cc
@@ -132,7 +132,7 @@
 
 void Model::Attempt(Instance& instance, std::uint64_t process,
                     std::uint64_t write) {
-  const auto is_current = [this, &instance, process, write] {
+  const auto is_current = [&instance, process, write] {
     return instance.process == process && instance.in_flight &&
            instance.in_flight->row.write == write;
   };
