Log what an owner concludes of runs, and reports that contradict it

Cause: when a run counted as over without its worker having said so, the log named one word for the reason. Change: 8010 run_concluded names the basis of the bound on the leases, the last renewal and answer, the worker's clock, and the windows of earlier owners. 8011 run_contradicted, a warning with a counter, is the proof from inside: a run that was held to be over is listed as running, a second run of a task is listed, or a run that nobody held to be over has ended as done while a later one is active. The model of successions fails on it. PredecessorWindows and Decision moved into headers of their own, the log lines of the dispatch duty into decision_log.cc. Ruled out: judging ends of runs that an earlier owner restarted.

--- a/benchmark/owner_cost.cc
+++ b/benchmark/owner_cost.cc
@@ -168,6 +168,8 @@
                                                 now_));
                      },
                      [](jobs::Decision&) {},
+                     [](jobs::RunConcluded&) {},
+                     [](jobs::RunContradicted&) {},
                      [](jobs::StageFailed&) {},
                      [](jobs::ResignOwnership&) {},
                  },
--- a/packages/jobs/include/jasminespar/jobs/dispatcher.h
+++ b/packages/jobs/include/jasminespar/jobs/dispatcher.h
@@ -4,13 +4,13 @@
 #ifndef JASMINESPAR_JOBS_DISPATCHER_H_
 #define JASMINESPAR_JOBS_DISPATCHER_H_
 
-#include <algorithm>
 #include <cstddef>
 #include <memory>
 #include <vector>
 
 #include "jasminespar/core/switch.h"
 #include "jasminespar/jobs/messages.h"
+#include "jasminespar/jobs/predecessor_windows.h"
 
 namespace jasminespar::jobs {
 
@@ -33,21 +33,6 @@
   Switch departures = Switch::kOn;   ///< Use the time left of leaving workers.
 };
 
-/// How long earlier owners of the cell, which may not know of its present one,
-/// can still act.
-struct PredecessorWindows {
-  Duration renew{};  ///< Of leases.
-  Duration start{};  ///< Of tasks.
-  bool operator==(const PredecessorWindows&) const = default;
-};
-
-/// @return what is left of the windows after `elapsed`.
-[[nodiscard]] constexpr PredecessorWindows WindowsAfter(
-    const PredecessorWindows& windows, Duration elapsed) noexcept {
-  return {std::max(Duration{}, windows.renew - elapsed),
-          std::max(Duration{}, windows.start - elapsed)};
-}
-
 /// What the owner may do, given the age of its last confirmed heartbeat.
 enum class Authority : std::uint8_t {
   kNone,       ///< No orders: another instance may own the cell.
--- a/packages/jobs/src/dispatcher.cc
+++ b/packages/jobs/src/dispatcher.cc
@@ -36,8 +36,9 @@
   loaded_ = true;
   loaded_at_ = now;
   for (auto& [name, worker] : workers_) {
-    worker.lease_expires_at =
-        LeaseExpiryBound(settings_.max_lease + predecessors_.renew, now);
+    worker.lease = {
+        LeaseExpiryBound(settings_.max_lease + predecessors_.renew, now),
+        LeaseBasis::kPredecessors, std::nullopt};
     if (!worker.enrolled) worker.reconciled = true;  // It never got an order.
   }
   for (auto& [id, job] : jobs_) job.may_have_unlisted_runs = true;
--- a/packages/jobs/src/dispatcher_impl.h
+++ b/packages/jobs/src/dispatcher_impl.h
@@ -26,6 +26,7 @@
 #include "pace_placement.h"
 #include "placement.h"
 #include "reclaim_plans.h"
+#include "run_conclusions.h"
 #include "unplaced_shapes.h"
 #include "worker_pool.h"
 
@@ -163,6 +164,21 @@
   /// Commits changes, unless a commit is still in flight.
   void SendCommit(const Now& now);
 
+  // run_conclusions.cc: conclusions that a run is over, and contradictions.
+  /// @return what is known of the worker's lease.
+  [[nodiscard]] LeaseEvidence EvidenceOf(const WorkerState& worker,
+                                         TimePoint now) const;
+  /// Records that a run is over although no report listed its end.
+  /// @param task without a job: every run of earlier owners on the worker.
+  void ConcludeOver(const WorkerState& worker, const TaskName& task,
+                    RunNumber run, DecisionCause cause, const Now& now);
+  /// @return whether this owner has concluded that the run was over.
+  [[nodiscard]] bool IsConcludedOver(const WorkerState& worker,
+                                     const TaskName& task, RunNumber run) const;
+  /// Reports that the worker lists a run which should not be there.
+  void ReportContradiction(Contradiction kind, const WorkerState& worker,
+                           const TaskName& name, RunNumber run, const Now& now);
+
   // retention.cc: jobs that have ended, until they are forgotten.
   void On(const JobRowDeleted& deleted, const Now& now);
   void On(const JobRowsListed& listed, const Now& now);
@@ -350,6 +366,8 @@
   /// Stops the active members of gangs that lack others.
   void StopIncompleteGangs(const Now& now);
   [[nodiscard]] RunNumber NextRun();
+  /// @return a number below those of this owner's runs and above all earlier.
+  [[nodiscard]] RunNumber FirstOwnRun() const;
 
   // pace_observations.cc: what reports and ends show of the workers' pace.
   /// To be called for each listed run before its percent is taken over.
@@ -451,6 +469,7 @@
   std::map<JobId, EarlyCancellation> cancelled_early_;
   WorkerMap workers_;
   ReclaimPlans plans_;
+  RunConclusions conclusions_;
   /// Workers that new work may be placed on; of the present decision only.
   std::vector<WorkerState*> usable_;
   WorkerPaces paces_;
--- a/packages/jobs/src/earlier_runs.cc
+++ b/packages/jobs/src/earlier_runs.cc
@@ -28,6 +28,10 @@
 
 void Dispatcher::Impl::AdoptRun(WorkerState& worker, const ListedRun& listed,
                                 const Now& now) {
+  if (IsConcludedOver(worker, listed.task, listed.run)) {
+    ReportContradiction(Contradiction::kStillRunning, worker, listed.task,
+                        listed.run, now);
+  }
   const JobState* job = FindJob(listed.task.job);
   PlacedRun placed;
   placed.run = listed.run;
@@ -67,6 +71,10 @@
   PlacedRun described = placed;
   described.stray = false;
   described.surplus = job->live() && task->phase == TaskPhase::kActive;
+  if (described.surplus) {
+    ReportContradiction(Contradiction::kSecondRun, worker, name, placed.run,
+                        now);
+  }
   described.need = NeedOf(job->SpecOf(step));
   described.lasting = job->SpecOf(step).long_running;
   described.priority = job->queue.priority;
--- a/packages/jobs/src/orders.cc
+++ b/packages/jobs/src/orders.cc
@@ -48,8 +48,7 @@
                                 ? LeaseUntil(worker, lease, now.steady)
                                 : WorkerClock{};
   if (until.value != 0) {
-    worker.lease_expires_at =
-        std::max(worker.lease_expires_at, LeaseExpiryBound(lease, now.steady));
+    worker.lease.Renew(LeaseExpiryBound(lease, now.steady), now.steady);
   }
   const TimePoint send_by =
       pending.kind == PendingOrder::Kind::kStart
--- a/packages/jobs/src/run_ends.cc
+++ b/packages/jobs/src/run_ends.cc
@@ -38,6 +38,14 @@
                        task->run == end.run &&
                        task->worker == worker.entry.name;
   if (end.ending == RunEnding::kDone) {
+    // An earlier owner may have concluded what this one does not know.
+    const bool started_again = task->phase == TaskPhase::kActive &&
+                               task->run >= FirstOwnRun() &&
+                               task->run > end.run;
+    if (started_again && !IsConcludedOver(worker, end.task, end.run)) {
+      ReportContradiction(Contradiction::kDoneUnnoticed, worker, end.task,
+                          end.run, now);
+    }
     worker.failures_in_row = 0;
     if (job->SpecOf(step).long_running) {
       if (current) RequeueTask(*job, step, *task, now);
@@ -145,6 +153,7 @@
                                      DecisionCause cause, const Now& now) {
   const PlacedRun placed = worker.placed_runs.at(name);
   RemovePlacedRun(worker, name);
+  ConcludeOver(worker, name, placed.run, cause, now);
   LogRunDecision(DecisionKind::kRunLost, cause, name, worker.entry.name,
                  placed.run, "", now.steady - worker.last_answer);
   JobState* job = FindJob(name.job);
--- a/packages/jobs/src/starts.cc
+++ b/packages/jobs/src/starts.cc
@@ -273,7 +273,11 @@
 }
 
 RunNumber Dispatcher::Impl::NextRun() {
-  return RunNumber{(epoch_.durable << kRunsPerEpochBits) + ++last_run_};
+  return RunNumber{FirstOwnRun().value + ++last_run_};
+}
+
+RunNumber Dispatcher::Impl::FirstOwnRun() const {
+  return RunNumber{epoch_.durable << kRunsPerEpochBits};
 }
 
 }  // namespace jasminespar::jobs
--- a/packages/jobs/src/worker_exit.cc
+++ b/packages/jobs/src/worker_exit.cc
@@ -44,7 +44,7 @@
 
 void Dispatcher::Impl::HandleExit(WorkerState& worker, const Now& now) {
   worker.reports.EndProcess(OrderNumber{last_order_});
-  worker.lease_expires_at = now.steady;
+  worker.lease = {now.steady, LeaseBasis::kExit, worker.lease.renewed_at};
   worker.silent = true;
 }
 
--- a/packages/jobs/src/worker_polls.cc
+++ b/packages/jobs/src/worker_polls.cc
@@ -108,9 +108,8 @@
   worker.poll_unanswered = false;
   if (!worker.reconciled) {
     // The worker refuses orders of earlier owners from now on.
-    worker.lease_expires_at =
-        std::min(worker.lease_expires_at,
-                 LeaseExpiryBound(settings_.max_lease, now.steady));
+    worker.lease.Limit(LeaseExpiryBound(settings_.max_lease, now.steady),
+                       LeaseBasis::kFirstReport);
   }
   HandleIncarnation(worker, report.incarnation, now);
   if (worker.reports.IsForKnownProcess(poll.number)) {
@@ -192,7 +191,11 @@
     return;
   }
   PlacedRun& placed = found->second;
-  if (placed.run != listed.run) return;
+  if (placed.run != listed.run) {
+    ReportContradiction(Contradiction::kSecondRun, worker, listed.task,
+                        listed.run, now);
+    return;
+  }
   placed.incarnation = worker.incarnation;
   placed.in_known_process = true;
   if (!placed.confirmed_at) {
@@ -231,8 +234,11 @@
 
 void Dispatcher::Impl::ExpireLeases(const Now& now) {
   for (auto& [name, worker] : workers_) {
-    if (now.steady < worker.lease_expires_at) continue;
-    worker.reconciled = worker.reconciled || loaded_;
+    if (now.steady < worker.lease.expires_at) continue;
+    if (!worker.reconciled && loaded_) {
+      worker.reconciled = true;
+      ConcludeOver(worker, {}, {}, DecisionCause::kLeaseExpired, now);
+    }
     if (!worker.silent) continue;
     while (!worker.placed_runs.empty()) {
       const TaskName task = worker.placed_runs.begin()->first;
--- a/packages/jobs/src/worker_pool.cc
+++ b/packages/jobs/src/worker_pool.cc
@@ -23,6 +23,19 @@
 
 }  // namespace
 
+void LeaseBound::Renew(TimePoint bound, TimePoint now) noexcept {
+  renewed_at = now;
+  if (bound <= expires_at) return;
+  expires_at = bound;
+  basis = LeaseBasis::kOwnOrders;
+}
+
+void LeaseBound::Limit(TimePoint bound, LeaseBasis reason) noexcept {
+  if (bound >= expires_at) return;
+  expires_at = bound;
+  basis = reason;
+}
+
 bool WorkerState::HasStray() const {
   return std::any_of(placed_runs.begin(), placed_runs.end(),
                      [](const auto& entry) { return entry.second.stray; });
@@ -77,7 +90,7 @@
   if (worker.listed && worker.leaving) {
     return worker.processed_to == worker.durable_to;
   }
-  return !worker.listed && now >= worker.lease_expires_at;
+  return !worker.listed && now >= worker.lease.expires_at;
 }
 
 bool IsSuited(const WorkerState& worker, const StepSpec& spec,
--- a/packages/jobs/src/worker_pool.h
+++ b/packages/jobs/src/worker_pool.h
@@ -63,6 +63,19 @@
   }
 };
 
+/// Bound on the leases of what runs on a worker.
+struct LeaseBound {
+  /// All runs that it was ordered to start have ended by then.
+  TimePoint expires_at;
+  LeaseBasis basis = LeaseBasis::kNone;
+  std::optional<TimePoint> renewed_at;  ///< By the last order with a lease.
+
+  /// An order that was sent at `now` renews the lease until `bound` at most.
+  void Renew(TimePoint bound, TimePoint now) noexcept;
+  /// No lease is valid for longer than until `bound`, for that reason.
+  void Limit(TimePoint bound, LeaseBasis reason) noexcept;
+};
+
 struct WorkerState {
   WorkerEntry entry;
   bool listed = false;
@@ -82,8 +95,7 @@
   ReportOrder reports;
   std::optional<WorkerClock> clock;  ///< The worker's clock at `clock_at`.
   TimePoint clock_at;
-  /// All runs that it was ordered to start have ended by then.
-  TimePoint lease_expires_at;
+  LeaseBound lease;
   TimePoint last_answer;
   bool poll_unanswered = false;  ///< The last one that ended.
   bool silent = false;
--- a/packages/jobserver/include/jasminespar/jobserver/dispatch_duty.h
+++ b/packages/jobserver/include/jasminespar/jobserver/dispatch_duty.h
@@ -90,6 +90,8 @@
   void PerformEffect(jobs::SendOrder& order);
   void PerformEffect(jobs::Commit& commit);
   void PerformEffect(jobs::Decision& decision);
+  void PerformEffect(jobs::RunConcluded& concluded);
+  void PerformEffect(jobs::RunContradicted& contradicted);
   void PerformEffect(jobs::StageFailed& failure);
   void PerformEffect(jobs::ResignOwnership& resign);
 
--- a/packages/jobserver/src/dispatch_duty.cc
+++ b/packages/jobserver/src/dispatch_duty.cc
@@ -258,27 +258,4 @@
   SendNextCommit();
 }
 
-void DispatchDuty::PerformEffect(jobs::StageFailed& failure) {
-  log_.Log(Event::kInternalError,
-           {{"duty", "dispatch"},
-            {"stage", RowOf(jobs::kDispatcherStageNames, failure.stage).name},
-            {"id", failure.job.value},
-            {"fault", failure.fault}});
-}
-
-void DispatchDuty::PerformEffect(jobs::Decision& decision) {
-  log_.Log(Event::kJobDecision,
-           {{"id", decision.task.job.value},
-            {"decision", RowOf(jobs::kDecisionNames, decision.kind).name},
-            {"cause", RowOf(jobs::kDecisionCauseNames, decision.cause).name},
-            {"occurrence", decision.task.occurrence},
-            {"step", decision.task.step},
-            {"task", decision.task.index},
-            {"run", decision.run.value},
-            {"worker", decision.worker.value},
-            {"detail", decision.detail},
-            {"epoch", ownership_.epoch().durable},
-            {"age_ms", ToMilliseconds(decision.age)}});
-}
-
 }  // namespace jasminespar::jobserver
--- a/packages/telemetry/include/jasminespar/telemetry/events.h
+++ b/packages/telemetry/include/jasminespar/telemetry/events.h
@@ -79,6 +79,8 @@
   kCommitRepeated,
   kCommitMalformed,
   kClaimSuperseded,
+  kRunConcluded,
+  kRunContradicted,
 };
 
 /// One row of kEvents.
@@ -92,7 +94,7 @@
   std::string_view help;  ///< Same text as in docs/EVENTS.md.
 };
 
-inline constexpr std::array<EventRow, 41> kEvents{{
+inline constexpr std::array<EventRow, 43> kEvents{{
     {Event::kStarted, 1001, "started", Severity::kInfo,
      "The instance has started and serves requests."},
     {Event::kStopping, 1002, "stopping", Severity::kInfo,
@@ -177,9 +179,13 @@
      "The table rejected an owner's write as malformed; smaller ones follow."},
     {Event::kClaimSuperseded, 8009, "claim_superseded", Severity::kInfo,
      "A claim was confirmed after another instance had claimed the cell."},
+    {Event::kRunConcluded, 8010, "run_concluded", Severity::kInfo,
+     "The owner holds a run to be over whose end no worker has listed."},
+    {Event::kRunContradicted, 8011, "run_contradicted", Severity::kWarning,
+     "A worker's report shows that a task has run twice, or nearly."},
 }};
 static_assert(IsDense(kEvents));
-static_assert(static_cast<std::size_t>(Event::kClaimSuperseded) + 1 ==
+static_assert(static_cast<std::size_t>(Event::kRunContradicted) + 1 ==
               kEvents.size());
 
 /// One key=value pair of an event. Does not own the key or a text value: both
--- a/packages/telemetry/include/jasminespar/telemetry/metric_names.h
+++ b/packages/telemetry/include/jasminespar/telemetry/metric_names.h
@@ -48,9 +48,10 @@
   kRevisionsIgnored,
   kRingCongestions,
   kConfigurationsFromPeers,
+  kRunsContradicted,
 };
 
-inline constexpr NameTable<Counter, 34> kCounterNames{{
+inline constexpr NameTable<Counter, 35> kCounterNames{{
     {Counter::kCallsAccepted, "calls_accepted",
      "Calls taken in by a cell owned here."},
     {Counter::kCallsAnswered, "calls_answered",
@@ -114,9 +115,11 @@
      "Times that a ring was found full."},
     {Counter::kConfigurationsFromPeers, "configurations_from_peers",
      "Configurations that came into force here from a peer."},
+    {Counter::kRunsContradicted, "runs_contradicted",
+     "Runs that a worker listed though they should have been over."},
 }};
 static_assert(IsDense(kCounterNames));
-static_assert(static_cast<std::size_t>(Counter::kConfigurationsFromPeers) + 1 ==
+static_assert(static_cast<std::size_t>(Counter::kRunsContradicted) + 1 ==
               kCounterNames.size());
 
 /// Current values, exported as jasminespar_{name}.
--- a/tests/jobs/dispatcher_fixture.h
+++ b/tests/jobs/dispatcher_fixture.h
@@ -201,6 +201,8 @@
   std::vector<SendOrder> starts;
   std::vector<SendOrder> stops;
   std::vector<Decision> decisions;
+  std::vector<RunConcluded> conclusions;
+  std::vector<RunContradicted> contradictions;
   std::vector<StageFailed> failures;
   /// In each decision; from 0.
   std::optional<int> fail_allocation;
@@ -247,6 +249,12 @@
                      [&](Decision& decision) {
                        decisions.push_back(std::move(decision));
                      },
+                     [&](RunConcluded& concluded) {
+                       conclusions.push_back(std::move(concluded));
+                     },
+                     [&](RunContradicted& contradicted) {
+                       contradictions.push_back(std::move(contradicted));
+                     },
                      [&](StageFailed& failure) { failures.push_back(failure); },
                      [&](ResignOwnership&) { resigned = true; },
                  },
--- a/tests/succession_model/instances.cc
+++ b/tests/succession_model/instances.cc
@@ -7,6 +7,11 @@
 namespace jasminespar::jobs {
 namespace {
 
+std::string NameOf(const TaskName& task) {
+  return task.job.value + "." + std::to_string(task.step) + "." +
+         std::to_string(task.index);
+}
+
 constexpr Duration kTickInterval = 100ms;
 constexpr Duration kAttemptTimeout = 1s;
 constexpr Duration kRetryDelay = 100ms;
@@ -305,6 +310,14 @@
             [&](const Decision& decision) {
               TraceDecision(instance, decision);
             },
+            [](const RunConcluded&) {},
+            [&](const RunContradicted& contradicted) {
+              Violate(NameOf(contradicted.task) + " run " +
+                      std::to_string(contradicted.run.value) + " on " +
+                      contradicted.worker.value + ": " +
+                      std::string(
+                          RowOf(kContradictionNames, contradicted.kind).name));
+            },
             [&](const StageFailed& failed) {
               Violate("a stage failed: " + failed.fault);
             },
