Request leases that end by their bound however old the clock's reading is

Callers could see a task run twice: an owner extrapolated a worker's clock from its last reading as if it were exact. A clock that is 2 % slow shows less, so the lease ended later than its bound by 2 % of the reading's age; 250 ms of margin cover an age of 12 s. The age grows while a worker answers starts but no polls, as a worker is silent only when it answers nothing. Change: the end of a lease is reckoned from the least that the worker's clock can show by now, so that the worker counts the lease's length at most. A lease is shorter by 2 % of the age, at most 70 ms between two polls. Also: a conclusion says below which run number it holds, a contradiction counts only if the report cannot be older than the conclusion, and an end is unnoticed only on a worker that earlier owners had used.

--- a/packages/jobs/include/jasminespar/jobs/run_conclusion.h
+++ b/packages/jobs/include/jasminespar/jobs/run_conclusion.h
@@ -55,6 +55,7 @@
   DecisionCause cause = DecisionCause::kNone;
   TaskName task;  ///< Without a job: every run that earlier owners started.
   RunNumber run;
+  RunNumber below;  ///< Above every run of earlier owners, below this one's.
   WorkerName worker;
   LeaseEvidence evidence;
 };
--- a/packages/jobs/src/dispatcher.cc
+++ b/packages/jobs/src/dispatcher.cc
@@ -39,6 +39,7 @@
     worker.lease = {
         LeaseExpiryBound(settings_.max_lease + predecessors_.renew, now),
         LeaseBasis::kPredecessors, std::nullopt};
+    worker.used_before = worker.enrolled;
     if (!worker.enrolled) worker.reconciled = true;  // It never got an order.
   }
   for (auto& [id, job] : jobs_) job.may_have_unlisted_runs = true;
--- a/packages/jobs/src/report_order.h
+++ b/packages/jobs/src/report_order.h
@@ -49,6 +49,12 @@
     return doubted_at_.has_value();
   }
 
+  /// @return when the poll of the newest report was sent: the report shows
+  ///     nothing that ended before; nothing without a report.
+  [[nodiscard]] std::optional<TimePoint> newest_polled_at() const noexcept {
+    return newest_ ? std::optional(newest_->sent_at) : std::nullopt;
+  }
+
   /// @param clock of the process that gave an answer.
   /// @param now when the answer arrived.
   /// @return whether the process that made the newest report certainly gave it.
--- a/packages/jobs/src/run_conclusions.cc
+++ b/packages/jobs/src/run_conclusions.cc
@@ -58,7 +58,11 @@
 void Dispatcher::Impl::ConcludeOver(const WorkerState& worker,
                                     const TaskName& task, RunNumber run,
                                     DecisionCause cause, const Now& now) {
-  RunConcluded concluded{cause, task, run, worker.entry.name,
+  RunConcluded concluded{cause,
+                         task,
+                         run,
+                         FirstOwnRun(),
+                         worker.entry.name,
                          EvidenceOf(worker, now.steady)};
   conclusions_.Add(concluded, now.steady);
   effects_.emplace_back(std::move(concluded));
@@ -68,6 +72,10 @@
                                            const WorkerState& worker,
                                            const TaskName& name, RunNumber run,
                                            const Now& now) {
+  const RunConclusions::Known* known =
+      conclusions_.Find(worker.entry.name, name, run, FirstOwnRun());
+  // The report may be older than the conclusion.
+  if (known != nullptr && worker.reports.newest_polled_at() < known->at) return;
   RunContradicted contradicted;
   contradicted.kind = kind;
   contradicted.task = name;
@@ -79,8 +87,6 @@
     contradicted.other_run = task->run;
     contradicted.other_worker = task->worker;
   }
-  const RunConclusions::Known* known =
-      conclusions_.Find(worker.entry.name, name, run, FirstOwnRun());
   if (known != nullptr) {
     contradicted.cause = known->concluded.cause;
     contradicted.since_conclusion = now.steady - known->at;
--- a/packages/jobs/src/run_ends.cc
+++ b/packages/jobs/src/run_ends.cc
@@ -38,10 +38,11 @@
                        task->run == end.run &&
                        task->worker == worker.entry.name;
   if (end.ending == RunEnding::kDone) {
-    // An earlier owner may have concluded what this one does not know.
-    const bool started_again = task->phase == TaskPhase::kActive &&
-                               task->run >= FirstOwnRun() &&
-                               task->run > end.run;
+    // Of another run or worker, an earlier owner may have concluded that it was
+    // over.
+    const bool started_again =
+        worker.used_before && task->phase == TaskPhase::kActive &&
+        task->run >= FirstOwnRun() && task->run > end.run;
     if (started_again && !IsConcludedOver(worker, end.task, end.run)) {
       ReportContradiction(Contradiction::kDoneUnnoticed, worker, end.task,
                           end.run, now);
--- a/packages/jobs/src/worker_pool.cc
+++ b/packages/jobs/src/worker_pool.cc
@@ -110,7 +110,9 @@
 WorkerClock LeaseUntil(const WorkerState& worker, Duration max_lease,
                        TimePoint now) {
   if (!worker.clock) return WorkerClock{};
-  const Duration elapsed = now - worker.clock_at;
+  // The worker's clock shows at least this much more by now.
+  const Duration elapsed =
+      (now - worker.clock_at) * (100 - kClockDriftPercent) / 100;
   return WorkerClock{
       worker.clock->value +
       static_cast<std::uint64_t>(ToMilliseconds(elapsed + max_lease))};
--- a/packages/jobs/src/worker_pool.h
+++ b/packages/jobs/src/worker_pool.h
@@ -82,6 +82,8 @@
   /// Its entry was written later than this; nothing: not known.
   std::optional<TimePoint> entry_written_after;
   bool enrolled = false;  ///< It is stored in the table, so it may get work.
+  /// It was stored when the cell was loaded: earlier owners may have used it.
+  bool used_before = false;
   bool leaving = false;
   /// When a leaving worker may end, at the earliest; nothing: unknown.
   std::optional<TimePoint> departs_at;
@@ -179,7 +181,8 @@
 [[nodiscard]] Duration LeaseOf(const WorkerState& worker, Duration max_lease);
 
 /// @return expiry of a lease requested now, on the worker's clock; zero if that
-///     clock is unknown.
+///     clock is unknown. The worker counts the lease's length at most, however
+///     old the reading of its clock is.
 [[nodiscard]] WorkerClock LeaseUntil(const WorkerState& worker,
                                      Duration max_lease, TimePoint now);
 
--- a/tests/jobs/run_conclusions_test.cc
+++ b/tests/jobs/run_conclusions_test.cc
@@ -9,11 +9,12 @@
 
 const TaskName kTask{{"a"}, 0, 0, 0};
 
-/// A job of one task that runs on w0; w1 has room too.
+/// A job of one task that runs on one of three workers.
 struct StartedTask {
   StartedTask() {
     fixture.AddWorker("w0");
     fixture.AddWorker("w1");
+    fixture.AddWorker("w2", "r2");
     fixture.FinishLoading();
     fixture.Advance(200ms);
     fixture.Feed(JobLoaded{
@@ -96,8 +97,8 @@
 
 TEST_CASE("an end that nothing foresaw is reported if its task runs again") {
   StartedTask started;
-  started.fixture.AddWorker("w2", "r1", Enrolment::kPending);
-  started.fixture.End("w2", kTask, RunNumber{7}, RunEnding::kDone);
+  const std::string other = started.first == "w2" ? "w1" : "w2";
+  started.fixture.End(other, kTask, RunNumber{7}, RunEnding::kDone);
   started.fixture.Advance(3s);
   REQUIRE(started.fixture.contradictions.size() == 1);
   const RunContradicted& unnoticed = started.fixture.contradictions[0];
--- a/tests/jobs/silence_test.cc
+++ b/tests/jobs/silence_test.cc
@@ -242,5 +242,38 @@
   CHECK(fixture.lease_of_last_poll[cut] > clock + 9'000);
 }
 
+// Guards against a lease that outlives its bound (review/1, found by the
+// model): polls got no answer while starts did, so the worker's clock was
+// extrapolated from an old reading without regard to its drift.
+TEST_CASE("a lease ends by its bound however old the reading of the clock is") {
+  DispatcherFixture fixture;
+  fixture.AddWorker("w1");
+  fixture.FinishLoading();
+  fixture.Advance(200ms);
+  const TimePoint read_at = fixture.now.steady;
+  const std::uint64_t read = fixture.ClockOf("w1").value;
+  fixture.unresponsive["w1"] = true;
+  Duration age{};
+  for (int i = 0; i < 40; ++i) {
+    fixture.Feed(
+        JobLoaded{DispatcherFixture::Job(std::to_string(i), "batch",
+                                         {DispatcherFixture::Step(1, 0)}),
+                  {}});
+    fixture.Advance(fixture.tick);
+    for (const SendOrder& order : fixture.starts) {
+      age = fixture.now.steady - read_at;
+      // Of a worker whose clock is as slow as may be.
+      const auto slowest =
+          read + static_cast<std::uint64_t>(ToMilliseconds(age) * 98 / 100);
+      CHECK(order.lease_until.value <=
+            slowest + static_cast<std::uint64_t>(
+                          ToMilliseconds(fixture.settings.max_lease)));
+    }
+    fixture.AcceptStarts();
+    fixture.Advance(450ms);
+  }
+  CHECK(age > 15s);
+}
+
 }  // namespace
 }  // namespace jasminespar::jobs
