Widen the model of successions by what it left out

Change: all of these, two steps, urgent work that preempts, checkpoints, slow workers, answers that overtake each other, claims whose answers come seconds late, and a bounded search that disturbs each message of one hand-over, alone and in pairs. The files are split by concern.

--- a/tests/succession_model/model.cc
+++ b/tests/succession_model/model.cc
@@ -1,6 +1,8 @@
+// Time, chance and the network of the model.
 #include "model.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace jasminespar::jobs {
 namespace {
@@ -10,18 +12,23 @@
 constexpr std::size_t kWorkers = 6;
 constexpr Duration kAdvanceInterval = 20ms;
 
+QueueConfiguration Queue(const std::string& name, std::uint32_t priority) {
+  QueueConfiguration queue;
+  queue.name.value = name;
+  queue.service.value = "matching";
+  queue.priority = priority;
+  queue.max_attempts = 3;
+  return queue;
+}
+
 }  // namespace
 
 Model::Model(const ModelSettings& settings)
     : settings_(settings), random_(settings.seed) {
   faults_end_ = now_ + settings_.fault_duration;
   SiteConfiguration site;
-  QueueConfiguration queue;
-  queue.name.value = "batch";
-  queue.service.value = "matching";
-  queue.priority = 2;
-  queue.max_attempts = 3;
-  site.queues.push_back(queue);
+  site.queues = {Queue("urgent", 0), Queue("batch", 2)};
+  site.accounts.push_back({{"school"}, {"key"}, 16});
   configuration_ =
       std::make_shared<const ConfigurationSnapshot>(std::move(site));
   for (std::size_t i = 0; i < kWorkers; ++i) {
@@ -33,21 +40,28 @@
     worker.entry.incarnation = Incarnation{1};
     worker.entry.capacity = {32'000, 128'000, 8};
     worker.zone = i % kZones;
-    worker.rate = 0.98 + 0.04 * static_cast<double>(i) / kWorkers;
-    worker.on_end = [this](const EndedRun& end, TimePoint now) {
-      done_[end.task].push_back({end.run, now, false});
-      Trace(end.task.job, "run " + std::to_string(end.run.value) + " of task " +
-                              std::to_string(end.task.index) + " is done");
+    worker.rate = 0.98 + 0.02 * static_cast<double>(i) / (kWorkers - 1);
+    worker.entry_at = now_;
+    const WorkerName name = worker.entry.name;
+    worker.on_end = [this, name](const EndedRun& end, TimePoint now) {
+      HandleEnd(workers_.at(name), end, now);
     };
-    workers_.emplace(worker.entry.name, std::move(worker));
+    workers_.emplace(name, std::move(worker));
   }
   instances_.resize(kInstances);
   for (std::size_t i = 0; i < kInstances; ++i) {
     instances_[i].name.value = "instance-" + std::to_string(i);
     instances_[i].zone = i % kZones;
+    instances_[i].rate = 0.9995 + 0.0003 * static_cast<double>(i);
+    instances_[i].wall_offset = Between(-1s, 1s);
     StartProcess(instances_[i]);
   }
-  After(3s, [this] { StartFault(); });
+  KeepList();
+  if (settings_.mix == FaultMix::kRandom) {
+    After(3s, [this] { StartFault(); });
+  } else {
+    After(8s, [this] { PlayHandOver(); });
+  }
   After(1s, [this] { SubmitJob(); });
 }
 
@@ -73,6 +87,19 @@
   events_.push({now_ + delay, ++last_event_, std::move(action)});
 }
 
+void Model::Later(Instance& instance, Duration delay,
+                  std::function<void()> action) {
+  After(delay, [this, &instance, process = instance.process,
+                action = std::move(action)] {
+    if (!instance.running || instance.process != process) return;
+    if (now_ < instance.stands_until) {
+      Later(instance, instance.stands_until - now_, action);
+      return;
+    }
+    action();
+  });
+}
+
 bool Model::Happens(double probability) {
   return std::uniform_real_distribution<double>()(random_) < probability;
 }
@@ -93,69 +120,21 @@
   return a == b || (!IsCut(a) && !IsCut(b));
 }
 
-Now Model::CurrentTime() const {
-  return {now_,
-          {static_cast<std::uint64_t>(ToMilliseconds(now_ - TimePoint{}))}};
-}
-
-void Model::StartFault() {
-  if (now_ >= faults_end_) return;
-  After(Between(500ms, 8s), [this] { StartFault(); });
-  const auto owner =
-      std::find_if(instances_.begin(), instances_.end(), [](const auto& each) {
-        return each.running && each.dispatcher != nullptr;
-      });
-  const int kind = std::uniform_int_distribution<int>(0, 5)(random_);
-  if (kind == 0) SlowTable();
-  if (kind == 1) {
-    CutZone(std::uniform_int_distribution<std::size_t>(0, kZones - 1)(random_));
-  }
-  if (owner == instances_.end()) return;
-  if (kind == 2) Kill(*owner, Between(300ms, 4s));
-  if (kind == 3) {
-    // Its leases outlive the first restart of its successor.
-    cut_until_[owner->zone] = std::min(now_ + Between(10s, 18s), faults_end_);
-    successors_to_kill_ = 1 + (Happens(0.3) ? 1 : 0);
-  }
-  if (kind == 4) {
-    owner->leaving = true;
-    owner->ownership->StopClaiming();
-    After(Between(500ms, 6s),
-          [this, &instance = *owner, process = owner->process] {
-            if (instance.process == process) Kill(instance, Between(300ms, 1s));
-          });
-    if (Happens(0.5)) SlowTable();
-  }
+Now Model::TimeOf(const Instance& instance) const {
+  const double passed =
+      static_cast<double>((now_ - TimePoint(1h)).count()) * instance.rate;
+  const auto wall = now_ + instance.wall_offset - TimePoint{};
+  return {TimePoint(1h) + Duration(static_cast<Duration::rep>(passed)),
+          {static_cast<std::uint64_t>(ToMilliseconds(wall))}};
 }
 
-void Model::SlowTable() {
-  slow_until_ = std::min(now_ + Between(1s, 6s), faults_end_);
-  for (Instance& instance : instances_) {
-    if (Happens(0.5)) instance.reads_slow_until = slow_until_;
+std::optional<Disturbance> Model::NextMessage() {
+  if (!counts_messages_) return std::nullopt;
+  const std::size_t number = result_.messages++;
+  for (const DisturbedMessage& each : settings_.disturbed) {
+    if (each.message == number) return each.how;
   }
-}
-
-void Model::CutZone(std::size_t zone) {
-  cut_until_[zone] = std::min(now_ + Between(1s, 16s), faults_end_);
-}
-
-void Model::SubmitJob() {
-  if (now_ >= faults_end_) return;
-  After(Between(50ms, 600ms), [this] { SubmitJob(); });
-  StepSpec step;
-  step.count = std::uniform_int_distribution<std::uint32_t>(1, 3)(random_);
-  step.need = {1000, 1000, 1};
-  step.gang = Happens(0.2);
-  AcceptedJob job;
-  job.id.value = std::to_string(1'000'000 + jobs_.size());
-  job.queue.value = "batch";
-  job.account.value = "school";
-  job.accepted_at = CurrentTime().wall;
-  const Duration work = Happens(0.2) ? Between(8s, 25s) : Between(300ms, 4s);
-  step.estimate = work;
-  job.spec.steps = {step};
-  work_[job.id] = work;
-  jobs_.emplace_back(now_, std::move(job));
+  return std::nullopt;
 }
 
 }  // namespace jasminespar::jobs
