Say in the log what guaranteed work waits for

Change: from half of the bound on, guaranteed_waits names every 500 ms what the work waits for: no authority or an old list, reports of other workers, the guarantee, active members, or the workers that get no work, each with its reason. IsUsable is now UnfitReason without a result, so that the decision and its explanation cannot differ. Result: waiting_work_test, three cases; tests/jobs 209 cases pass.

--- a/packages/jobs/include/jasminespar/jobs/decision.h
+++ b/packages/jobs/include/jasminespar/jobs/decision.h
@@ -43,9 +43,10 @@
   kPacesDiffer,
   kPacesAlike,
   kRunOfUnknownJob,
+  kGuaranteedWorkWaits,
 };
 
-inline constexpr NameTable<DecisionKind, 27> kDecisionNames{{
+inline constexpr NameTable<DecisionKind, 28> kDecisionNames{{
     {DecisionKind::kStart, "start", "A start was ordered."},
     {DecisionKind::kStop, "stop", "A stop was ordered."},
     {DecisionKind::kRunEnded, "run_ended", "A worker reported an ended run."},
@@ -91,6 +92,9 @@
      "Workers are no longer known to differ in pace."},
     {DecisionKind::kRunOfUnknownJob, "run_unknown",
      "A worker has a run of a job that may not have been read yet."},
+    {DecisionKind::kGuaranteedWorkWaits, "guaranteed_waits",
+     "Work of priority 0 has waited for half of its bound; the detail says "
+     "what for."},
 }};
 static_assert(IsDense(kDecisionNames));
 
--- a/packages/jobs/src/dispatcher_impl.h
+++ b/packages/jobs/src/dispatcher_impl.h
@@ -422,6 +422,18 @@
   [[nodiscard]] std::vector<Offer> CheapestOffers(std::vector<Offer> offers,
                                                   std::uint32_t tasks) const;
 
+  // waiting_work.cc: why guaranteed work still waits, for the log.
+  /// Logs it for steps whose bound is near or has passed, from time to time.
+  void ExplainWaitingWork(Authority authority, const Now& now);
+  [[nodiscard]] std::string WhyWaiting(JobState& job, const StepState& step,
+                                       Authority authority, const Now& now);
+  /// @param plan of the step; null if it has none.
+  /// @return how many suited workers lack room, and which get no new work.
+  [[nodiscard]] std::string DescribeWorkers(const JobState& job,
+                                            const StepState& step,
+                                            const ReclaimPlan* plan,
+                                            const Now& now) const;
+
   // overdue_work.cc: a bounded wait for every job.
   /// Puts the step that is overdue for longest before other work without a
   /// guarantee.
@@ -496,6 +508,7 @@
   TimePoint loaded_at_;
   TimePoint jobs_as_of_;  ///< Every job that the table had then was given.
   TimePoint next_stall_check_;
+  TimePoint next_explanation_;
   std::vector<DispatcherEffect> effects_;
 };
 
--- a/packages/jobs/src/failures.cc
+++ b/packages/jobs/src/failures.cc
@@ -38,6 +38,7 @@
       return StopIncompleteGangs(now);
     case DispatcherStage::kStarts:
       if (MayStartTasks(authority, now)) StartWaitingTasks(now);
+      ExplainWaitingWork(authority, now);
       return;
     case DispatcherStage::kRetention:
       return ForgetOldJobs(now);
--- a/packages/jobs/src/worker_pool.cc
+++ b/packages/jobs/src/worker_pool.cc
@@ -76,12 +76,24 @@
   return *entry.time_left - std::chrono::milliseconds(age);
 }
 
+std::optional<WorkerUnfit> UnfitReason(const WorkerState& worker,
+                                       TimePoint now) {
+  if (!worker.listed) return WorkerUnfit::kUnlisted;
+  if (!worker.enrolled) return WorkerUnfit::kNotEnrolled;
+  if (!worker.reconciled) return WorkerUnfit::kNotReconciled;
+  if (worker.leaving) return WorkerUnfit::kLeaving;
+  if (worker.emptied) return WorkerUnfit::kEmptied;
+  if (worker.silent) return WorkerUnfit::kSilent;
+  if (worker.reports.in_doubt()) return WorkerUnfit::kInDoubt;
+  if (!worker.clock) return WorkerUnfit::kClockUnknown;
+  if (now - worker.last_answer >= kMaxAnswerAge) return WorkerUnfit::kAnswerOld;
+  if (now < worker.quarantined_until) return WorkerUnfit::kQuarantined;
+  if (worker.HasStray()) return WorkerUnfit::kStray;
+  return std::nullopt;
+}
+
 bool IsUsable(const WorkerState& worker, TimePoint now) {
-  return worker.listed && worker.enrolled && worker.reconciled &&
-         !worker.leaving && !worker.emptied && !worker.silent &&
-         !worker.reports.in_doubt() && worker.clock.has_value() &&
-         now - worker.last_answer < kMaxAnswerAge &&
-         now >= worker.quarantined_until && !worker.HasStray();
+  return !UnfitReason(worker, now);
 }
 
 bool HasDeparted(const WorkerState& worker, TimePoint now) {
--- a/packages/jobs/src/worker_pool.h
+++ b/packages/jobs/src/worker_pool.h
@@ -162,6 +162,41 @@
 [[nodiscard]] std::optional<Duration> TimeLeftOf(const WorkerState& worker,
                                                  WorkerClock clock);
 
+/// Why no new work may be placed on a worker.
+enum class WorkerUnfit : std::uint8_t {
+  kUnlisted,
+  kNotEnrolled,
+  kNotReconciled,
+  kLeaving,
+  kEmptied,
+  kSilent,
+  kInDoubt,
+  kClockUnknown,
+  kAnswerOld,
+  kQuarantined,
+  kStray,
+};
+
+inline constexpr NameTable<WorkerUnfit, 11> kWorkerUnfitNames{{
+    {WorkerUnfit::kUnlisted, "unlisted", "The platform does not list it."},
+    {WorkerUnfit::kNotEnrolled, "not_enrolled", "It is not stored yet."},
+    {WorkerUnfit::kNotReconciled, "not_reconciled",
+     "Runs of earlier owners may be there."},
+    {WorkerUnfit::kLeaving, "leaving", "It is shutting down."},
+    {WorkerUnfit::kEmptied, "emptied", "Its data centre is emptied."},
+    {WorkerUnfit::kSilent, "silent", "It answers no poll."},
+    {WorkerUnfit::kInDoubt, "in_doubt", "It may have started again."},
+    {WorkerUnfit::kClockUnknown, "clock_unknown", "It has not reported."},
+    {WorkerUnfit::kAnswerOld, "answer_old", "Its last answer is too old."},
+    {WorkerUnfit::kQuarantined, "quarantined", "Orders or runs failed there."},
+    {WorkerUnfit::kStray, "stray", "It has a run of no known task."},
+}};
+static_assert(IsDense(kWorkerUnfitNames));
+
+/// @return why no new work may be placed on the worker; nothing if it may.
+[[nodiscard]] std::optional<WorkerUnfit> UnfitReason(const WorkerState& worker,
+                                                     TimePoint now);
+
 /// @return whether new work may be placed on the worker.
 [[nodiscard]] bool IsUsable(const WorkerState& worker, TimePoint now);
 
