Let the model reach late claims, unread ends and drains behind a cut

Claims whose answers come when another instance owns the cell, owners whose release is unheard while they go on, jobs that are read late, and workers that drain while their zone is cut off.

--- a/tests/succession_model/faults.cc
+++ b/tests/succession_model/faults.cc
@@ -70,6 +70,9 @@
     // successor has not reached every worker.
     if (Happens(0.7)) {
       owner.unheard_until = now_ + 2s;
+      for (Instance& other : instances_) {
+        if (&other != &owner) other.jobs_slow_until = now_ + 4s;
+      }
     } else {
       SlowTable();
     }
@@ -153,8 +156,13 @@
 void Model::DrainWorker(ModelWorker& worker) {
   if (!worker.up || worker.leaving) return;
   worker.leaving = true;
+  if (Happens(0.3)) {
+    // Its entry may expire before it exits.
+    After(Between(100ms, 1s),
+          [this, &worker] { CutZone(worker.zone, Between(6s, 16s)); });
+  }
   const Incarnation drained = worker.entry.incarnation;
-  After(Between(3s, 6s), [this, &worker, drained] {
+  After(Between(3s, 12s), [this, &worker, drained] {
     if (!worker.up || worker.entry.incarnation != drained) return;
     if (!IsCut(worker.zone)) worker.listed = false;
     RestartWorker(worker);
--- a/tests/succession_model/model.h
+++ b/tests/succession_model/model.h
@@ -92,6 +92,7 @@
     TimePoint stands_until;
     TimePoint unheard_until;     ///< Answers to its writes are lost.
     TimePoint reads_slow_until;  ///< Of the owner row and of new jobs.
+    TimePoint jobs_slow_until;   ///< Reads of new jobs alone.
     std::optional<Ownership> ownership;
     std::unique_ptr<Dispatcher> dispatcher;
     Epoch epoch;  ///< Of the dispatcher.
--- a/tests/succession_model/table.cc
+++ b/tests/succession_model/table.cc
@@ -1,4 +1,5 @@
 // The table of the model, and how instances read and write it.
+#include <algorithm>
 #include <utility>
 
 #include "model.h"
@@ -38,8 +39,9 @@
   if (IsCut(instance.zone)) return;
   const TimePoint as_of = SteadyOf(instance);
   const std::size_t known = jobs_.size();
-  const Duration back =
-      now_ < instance.reads_slow_until ? Between(50ms, 2s) : Between(1ms, 50ms);
+  const bool slow =
+      now_ < std::max(instance.reads_slow_until, instance.jobs_slow_until);
+  const Duration back = slow ? Between(50ms, 2s) : Between(1ms, 50ms);
   Later(instance, back,
         [this, &instance, epoch = instance.epoch, as_of, known] {
           if (instance.dispatcher == nullptr || instance.epoch != epoch) return;
@@ -120,6 +122,10 @@
 }
 
 void Model::Send(Instance& instance, OwnerWrite write) {
+  const bool claim = write.kind == OwnerWrite::Kind::kClaim;
+  if (!claim && write.row.epoch != instance.epoch) {
+    Violate(instance.name.value + " writes under an epoch that it has not");
+  }
   write.row.write = ++last_write_;
   write.expected = instance.ownership->version();
   write.sent_at = SteadyOf(instance);
