--- a/packages/jobs/src/dispatcher_impl.h
+++ b/packages/jobs/src/dispatcher_impl.h
@@ -18,6 +18,7 @@
 #include <utility>
 #include <vector>
 
+#include "dispatcher_records.h"
 #include "evacuations.h"
 #include "jasminespar/jobs/caller_cost.h"
 #include "jasminespar/jobs/dispatcher.h"
@@ -32,16 +33,6 @@
 
 namespace jasminespar::jobs {
 
-/// A step with waiting tasks and its keys in the order of service.
-struct WaitingStep {
-  JobState* job = nullptr;
-  StepState* step = nullptr;
-  bool no_value = false;  ///< So late that the job no longer earns anything.
-  bool late = false;      ///< Cannot finish in time to earn in full.
-  std::uint32_t priority = 0;
-  Duration age{};
-};
-
 class Dispatcher::Impl {
  public:
   Impl(const DispatcherSettings& settings, Epoch epoch,
@@ -63,30 +54,6 @@
   }
 
  private:
-  struct PendingOrder {
-    OrderNumber number;
-    WorkerName worker;
-    TaskName task;  ///< Unset for a poll.
-    RunNumber run;
-    TimePoint sent_at;
-    std::uint64_t acknowledge_to = 0;  ///< Of a poll.
-    enum class Kind : std::uint8_t { kStart, kStop, kPoll } kind = Kind::kPoll;
-  };
-
-  /// A cancellation of a job that is not known.
-  struct EarlyCancellation {
-    TimePoint since;
-    /// When the deletion of its row was last requested.
-    std::optional<TimePoint> deletion_requested_at;
-  };
-
-  /// A commit that is being filled.
-  struct CommitDraft {
-    Commit& commit;
-    std::size_t tasks = 0;  ///< Whose progress it holds.
-    std::size_t bytes = 0;  ///< Of its progress.
-  };
-
   // failures.cc: unexpected exceptions.
   /// Runs a stage, or the part of it that concerns one job; an exception ends
   /// only that part.
