--- a/tests/succession_model/model.cc
+++ b/tests/succession_model/model.cc
@@ -40,7 +40,7 @@
     worker.entry.incarnation = Incarnation{1};
     worker.entry.capacity = {32'000, 128'000, 8};
     worker.zone = i % kZones;
-    worker.rate = 0.98 + 0.02 * static_cast<double>(i) / (kWorkers - 1);
+    worker.rate = 0.98 + 0.04 * static_cast<double>(i) / (kWorkers - 1);
     worker.entry_at = now_;
     const WorkerName name = worker.entry.name;
     worker.on_end = [this, name](const EndedRun& end, TimePoint now) {
